--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,906 @@
+// Package choice decides for a delivery node: refuse or admit a message, when to send it, to which endpoint,
+// whether to try again, when to give up. Its interface (Settings, Events, Actions) is in types.go and its
+// bare state in state.go; every decision, table and tuned value is here. A Sender is a deterministic state
+// machine: time comes with Step, randomness from the seed, and it shares nothing with other senders.
+package choice
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// Gate. Bounds of the response ratio are the paper's best, BBC 60-80.
+	gateUpper, gateLower = 80, 60
+	// The ratio bounds cannot act before a slow destination's messages expire, so shares of the deadline do.
+	deadlineShut, deadlineOpen = 0.5, 1.0 / 3
+	smoothing                  = 0.2               // weight of a sample when they come often
+	smoothSpan                 = 2 * time.Second   // after a silence this long a sample weighs more
+	baselineSpan               = 120 * time.Second // the baseline grows by a factor e in this time
+	// A failed attempt counts for so many aims at least: it reads ill, but holding through an outage beats
+	// refusing, so it must not shut the gate alone. The hold that follows does when it grows too long.
+	failCharge    = 1.0
+	floorResponse = 5 * time.Millisecond   // keeps ratios finite
+	gateTrial     = 500 * time.Millisecond // pause between trial messages of a shut, idle gate
+
+	// Health of a route.
+	failWeight = 0.05                    // weight of a call in the share of failures met everywhere
+	chanceRun  = 0.02                    // a run of failures less likely than this by that share is no luck
+	shutWait   = 2200 * time.Millisecond // a told wait longer than any limit's span means shut
+	trialFirst = 250 * time.Millisecond  // half-open trials: first pause,
+	trialLast  = 1000 * time.Millisecond // and the longest, a fraction of the outages worth noticing
+	sickCount  = 3                       // failures in a row that make an outage where they are rare,
+	sickSpan   = 2 * time.Second         // one less if none passed for so long,
+	rareCalls  = 0.5                     // or where we have so few calls in that time
+	// Rule four counts the load of knowing senders; a tenth less than all of it leaves room for chance.
+	knowingShare = 0.9
+	// Of its own demand a sender takes less, for a busy destination may be asked for more than it can do.
+	demandShare = 0.4
+	roughWeight = 1.5 // a rough weight may be this many times too high
+
+	// Connections.
+	crowdedSpan = 30 * time.Second // idle connections of a kind are given back so long after a failed connect
+
+	// Slots.
+	slowFactor = 5                      // a call older than so many usual times makes its destination slow
+	slowLeast  = 700 * time.Millisecond // but not before this, or noise would
+	slotSpan   = 2 * time.Second        // slot time fades from memory in this span
+	sendCharge = 10 * time.Millisecond  // slot time booked at once, so that sends of one moment take turns
+	slowShare  = 0.4                    // share of the slots that all slow destinations together may hold
+
+	// Pacing.
+	partCut     = 0.5                    // factor on this sender's part at a refusal over the limit
+	partGrow    = 0.25                   // growth a second while calls pass, of the part or an even share
+	demandSpan  = 10 * time.Second       // this sender's own demand is what arrived of late
+	burstSpan   = 0.25                   // seconds of pace that may go at once
+	refusedRest = 120 * time.Millisecond // first rest after a refusal that told no wait
+
+	// Attempts.
+	timeoutFactor = 6                      // time-out in usual times, where a repeat is allowed,
+	timeoutGrow   = 1.5                    // growing with each failure in a row, lest a slow one never pass
+	timeoutLeast  = 0.5                    // and this share of the aim at least: a repeat still fits in it,
+	timeoutAims   = 2.0                    // and at most so many aims
+	retryRest     = 100 * time.Millisecond // rest of a message after a failure, doubled each time
+	drawPower     = 2                      // odds of an endpoint fall with this power of its response
+	sweepEvery    = 10 * time.Millisecond  // wakes are this far apart at least,
+	pollEvery     = 30 * time.Millisecond  // and this far while something waits
+	endMargin     = 15 * time.Millisecond  // final answers are given this long before the deadline
+)
+
+// New returns the decision maker of a delivery node that has just started.
+func New(cfg Settings, seed uint64) *Sender {
+	s := &Sender{
+		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		dests: map[int]*destination{}, eps: map[string]*endpoint{}, msgs: map[string]*message{},
+		lines: map[string][]*message{}, rests: map[string]time.Duration{}, sent: map[attempt]sending{},
+		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{},
+	}
+	s.cfg.Fleet = max(cfg.Fleet, 1)
+	if cfg.AskForList {
+		s.askAt = 1 // at once
+	}
+	return s
+}
+
+// Step takes the events of a moment and returns what to do about them, in order.
+func (s *Sender) Step(now time.Duration, events []Event) []Action {
+	s.now, s.actions = now, nil
+	// Lists first: a drain acts in the step that told of it, whatever stands before it in the batch.
+	for _, e := range events {
+		if l, ok := e.(Listed); ok {
+			s.listed(l)
+		}
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case Arrived:
+			s.arrived(e)
+		case Ended:
+			s.ended(e)
+		case Probed:
+			s.probed(e)
+		case Dropped:
+			if m := s.msgs[e.ID]; m != nil {
+				s.finish(m, nil)
+			}
+		case Rang:
+			s.wakeAt = 0 // a rounded clock may ring a little before the time
+		}
+	}
+	if s.askAt > 0 && now >= s.askAt {
+		s.askAt = 0
+		s.do(Watch{})
+	}
+	s.expire()
+	s.release()
+	s.preempt()
+	s.arm()
+	return s.actions
+}
+
+// arm asks to be woken when a message's time is up, and soon while one waits for a slot, a rest or a pace.
+// What is out wakes the sender by its outcome; with nothing held it sleeps.
+func (s *Sender) arm() {
+	due := time.Duration(math.MaxInt64)
+	if s.askAt > 0 {
+		due = s.askAt
+	}
+	for _, m := range s.open {
+		due = min(due, max(m.dropDead-endMargin-s.cfg.Tick, s.now+sweepEvery))
+		if m.waits {
+			due = min(due, s.now+pollEvery)
+		}
+	}
+	if due < math.MaxInt64 && (s.wakeAt <= s.now || due < s.wakeAt) {
+		s.wakeAt = due
+		s.do(Wake{At: due, Tag: "sweep"})
+	}
+}
+
+// listed brings the list of endpoints up to date. A whole list replaces the old one.
+func (s *Sender) listed(l Listed) {
+	if l.Failed {
+		s.asking = min(max(2*s.asking, trialFirst), time.Minute)
+		if s.cfg.AskForList {
+			s.askAt = s.now + s.asking
+		}
+		return
+	}
+	s.asking = 0
+	if l.Whole {
+		for _, d := range s.order {
+			for _, e := range d.endpoints {
+				e.ready = false
+			}
+		}
+	}
+	for _, entry := range l.Entries {
+		d := s.destination(entry.Dest)
+		e := s.eps[entry.Endpoint]
+		if e == nil || e.dest != d {
+			e = &endpoint{id: entry.Endpoint, zone: entry.Zone, dest: d}
+			s.eps[entry.Endpoint] = e
+			d.endpoints = append(d.endpoints, e)
+			d.kind = entry.Kind
+			if e.route = d.shared; s.apart(d) {
+				e.route = newRoute()
+			}
+		}
+		e.ready = entry.Phase == Ready
+		if s.cfg.Weighted && entry.Weight > 0 {
+			e.route.weight = entry.Weight
+		}
+	}
+}
+
+func newRoute() *route { return &route{part: 1, tokens: 1} }
+
+// arrived admits a message or refuses it at once.
+func (s *Sender) arrived(e Arrived) {
+	if s.msgs[e.ID] != nil {
+		return
+	}
+	d := s.destination(e.Dest)
+	d.came, d.cameAt = d.rate(s.now)*seconds(demandSpan)+1, s.now
+	class := &Class{}
+	if e.Class >= 0 && e.Class < len(s.cfg.Classes) {
+		class = &s.cfg.Classes[e.Class]
+	}
+	m := &message{
+		id: e.ID, class: class, dest: d, arrived: s.now, dropDead: e.DropDead, worth: class.Worth,
+		born: e.DropDead - class.Deadline,
+	}
+	m.aim = min(class.Aim+span(class.AimStretch*seconds(e.Hint)), max(class.Deadline, class.Aim))
+	if !s.inShare(e.Tenant) {
+		m.worth *= s.cfg.OverShareWorth
+	}
+	s.msgs[m.id] = m
+	if !s.admit(d, m) {
+		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(d)})
+		return
+	}
+	s.open = append(s.open, m)
+	if class.Ordered && e.Key != "" {
+		m.key = e.Key
+		s.lines[m.key] = append(s.lines[m.key], m)
+	}
+	s.enqueue(m)
+	for _, e := range d.endpoints {
+		if e.route.recovering() {
+			e.route.demand += 1 / float64(len(d.endpoints))
+		}
+	}
+}
+
+// inShare counts a request against its tenant's share, of which this sender sees its part.
+func (s *Sender) inShare(i int) bool {
+	if i < 0 || i >= len(s.tenants) || s.cfg.Tenants[i].PerSecond <= 0 {
+		return true
+	}
+	t, rate := &s.tenants[i], s.cfg.Tenants[i].PerSecond/float64(s.cfg.Fleet)
+	t.tokens = min(t.tokens+rate*seconds(s.now-t.at), 2*rate+1)
+	t.at = s.now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// admit asks the gate, at arrival. Beside the paper's ratio stand two departures: the deadline bounds, and
+// a share of the room for held messages, since one backlog must not turn everybody else's messages away.
+func (s *Sender) admit(d *destination, m *message) bool {
+	if s.cfg.MaxOpen > 0 && len(d.waiting) > s.cfg.MaxOpen-len(s.open) {
+		return false
+	}
+	if d.gate.accepts(d.gate.average, seconds(m.class.Deadline)) {
+		return true
+	}
+	// Shut: with nobody held or out, a single trial message lets the ratio fall.
+	if len(d.waiting) == 0 && len(d.calls) == 0 && s.now-d.lastTrial >= gateTrial {
+		d.lastTrial = s.now
+		return true
+	}
+	return false
+}
+
+// accepts moves the gate between its bounds and tells whether it is open.
+func (g *gate) accepts(current, deadline float64) bool {
+	base := max(g.baseline, seconds(floorResponse))
+	upper, lower := gateUpper*base, gateLower*base
+	if deadline > 0 {
+		upper, lower = min(upper, deadlineShut*deadline), min(lower, deadlineOpen*deadline)
+	}
+	switch {
+	case !g.seen:
+		g.shut = current > upper
+	case current > upper:
+		g.shut = true
+	case current < lower:
+		g.shut = false
+	}
+	return !g.shut
+}
+
+// sample takes a response time into the average, and keeps the lowest average as the baseline.
+func (g *gate) sample(now time.Duration, sec float64) {
+	if !g.seen {
+		g.seen, g.average, g.baseline, g.at = true, sec, sec, now
+		return
+	}
+	gap := seconds(now - g.at)
+	w := max(smoothing, 1-math.Exp(-gap/seconds(smoothSpan)))
+	g.average += w * (sec - g.average)
+	g.baseline = min(g.baseline*math.Exp(gap/seconds(baselineSpan)), g.average)
+	g.at = now
+}
+
+// retryAfter asks a refused client to stay away for about as long as the backlog lasts.
+func (s *Sender) retryAfter(d *destination) time.Duration {
+	after := s.cfg.MaxRetryAfter
+	if d.gate.seen && !d.gate.shut {
+		after = min(after, span(d.gate.average))
+	}
+	return after
+}
+
+// finish ends a message; a is nil when it is over without our doing.
+func (s *Sender) finish(m *message, a Action) {
+	if m.over {
+		return
+	}
+	m.over = true
+	m.dest.dequeue(m)
+	delete(s.msgs, m.id)
+	if a != nil {
+		s.do(a)
+	}
+}
+
+// mayRefuse tells whether a refusal promises the truth, that coming again is harmless.
+func (s *Sender) mayRefuse(m *message) bool {
+	if m.class.Effect == Safe || (m.out == 0 && !m.touched) {
+		return true
+	}
+	return m.class.Effect == Keyed && m.touched && m.class.GroupAll && s.now <= s.windowEnd(m)
+}
+
+// windowEnd is the last moment at which a keyed message's repeat is surely dropped.
+func (s *Sender) windowEnd(m *message) time.Duration {
+	return m.mayRun + m.class.Window - endMargin - 2*s.cfg.Tick
+}
+
+// giveUp ends a message as its effect allows.
+func (s *Sender) giveUp(m *message) {
+	if s.mayRefuse(m) {
+		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(m.dest)})
+	} else {
+		s.finish(m, Fail{ID: m.id})
+	}
+}
+
+// expire gives every open message its end in time, and sweeps out the ended.
+func (s *Sender) expire() {
+	s.open = slices.DeleteFunc(s.open, func(m *message) bool {
+		switch {
+		case m.over:
+		case s.now >= m.dropDead-endMargin-s.cfg.Tick && m.out == 0, s.now >= m.dropDead:
+			s.giveUp(m)
+		case m.touched && m.out == 0 && m.class.Effect == Keyed && s.now >= s.windowEnd(m)-2*pollEvery:
+			s.giveUp(m) // soon it could neither be sent nor refused
+		}
+		return m.over
+	})
+}
+
+// ended takes the outcome of an attempt.
+func (s *Sender) ended(e Ended) {
+	key := attempt{e.ID, e.Attempt}
+	m, c := s.sent[key].m, s.sent[key].c
+	if c == nil {
+		return
+	}
+	delete(s.sent, key)
+	if c.left--; c.left == 0 {
+		s.hangEnd(c)
+	}
+	s.report(c.ep.route, e.Report)
+	s.judge(c, e)
+	m.out--
+	ran := e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == Cut || e.Outcome == Undone
+	if ran && m.class.Effect != Safe && (!m.touched || c.sentAt < m.mayRun) {
+		m.touched, m.mayRun, m.zone = true, c.sentAt, c.ep.zone
+	}
+	if ran && e.Outcome != Fault && m.key != "" {
+		s.rests[m.key] = max(s.rests[m.key], s.now+s.cfg.OrderSettle)
+	}
+	if m.over {
+		return // ended meanwhile; its turn and its key had to hear of the outcome all the same
+	}
+	s.sample(m, c, e.Outcome)
+	switch {
+	case e.Closed || e.Outcome == Pass:
+		s.finish(m, nil)
+	case m.out > 0: // another copy is out and may still pass
+	case s.now >= m.dropDead-endMargin, ran && m.class.Effect == Unsafe, s.spent(m):
+		s.giveUp(m)
+	default:
+		if ran || e.Outcome == NoRoute {
+			m.notBefore = s.now + retryRest<<min(m.attempts, 16)
+		}
+		s.enqueue(m)
+	}
+}
+
+func (s *Sender) spent(m *message) bool {
+	return s.cfg.MaxAttempts > 0 && m.attempts >= s.cfg.MaxAttempts
+}
+
+// sample is the one place that turns outcomes into gate samples. Whatever did not deliver is charged as slow,
+// or fast errors would make the ratio read healthy while everything is rejected; a refusal for being over a
+// limit is pacing news and no sample, for the hold that follows shows in the final one. Of a message held
+// through an outage only the time since the return counts (the call itself in any case): its hold says
+// nothing of what a new one would meet, and the old backlog kept the gate shut for messages that could be
+// in time.
+func (s *Sender) sample(m *message, c *call, o Outcome) {
+	sec := seconds(s.now - max(m.arrived, min(c.ep.route.coldFrom, c.sentAt)))
+	switch o {
+	case Pass:
+	case Stale, Undone:
+		return
+	case NoRoom:
+		if !m.dest.troubled() {
+			return
+		}
+		fallthrough
+	default:
+		sec = max(sec, failCharge*seconds(m.aim))
+	}
+	m.dest.gate.sample(s.now, sec)
+}
+
+func (d *destination) troubled() bool {
+	for _, e := range d.endpoints {
+		if e.ready && !e.route.sick {
+			return false
+		}
+	}
+	return true
+}
+
+// report takes what an endpoint tells of its limit; odd values are skipped.
+func (s *Sender) report(r *route, rep Report) {
+	if rep.HasLimit && rep.Limit >= 0 && !math.IsInf(rep.Limit, 0) {
+		r.reported, r.limit, r.left = true, rep.Limit, 0
+		if rep.HasLeft && rep.Left > 0 {
+			r.left = min(rep.Left, 1)
+		}
+	}
+}
+
+// judge updates the health of an endpoint and its route from an outcome.
+func (s *Sender) judge(c *call, e Ended) {
+	ep, r, took := c.ep, c.ep.route, max(seconds(e.Took), seconds(floorResponse))
+	if c.trial {
+		r.trial = false
+	}
+	switch e.Outcome {
+	case Pass:
+		ep.usual = ease(ep.usual, took)
+		ep.response = ease(ep.response, took)
+		if r.fails > 0 && r.harmless && !r.sick {
+			s.crowded[ep.dest.kind] = s.now + crowdedSpan // no connection, then a pass: a full table
+		}
+		s.passed(r)
+	case Stale:
+	case NoRoom:
+		// Refusals in a row rest longer each time, over a limit or shut. They are no outage by themselves:
+		// a large fleet meets three in a row at any busy limit.
+		if s.now-r.waitUntil > r.rest {
+			r.rest = refusedRest
+		} else if s.now >= r.waitUntil { // no fellow of the call that told of it
+			r.rest *= 2
+		}
+		r.waitUntil = max(r.waitUntil, s.now+max(e.Wait, r.rest))
+		ep.response = ease(ep.response, 2*max(ep.response, took))
+		// Refused where there is no limit: a full queue, as of a destination that hangs.
+		stuck := r.reported && r.limit == 0
+		if shut := e.Wait > shutWait; shut || stuck || r.sick {
+			s.failure(ep, shut, true)
+		} else {
+			s.cut(ep.dest, r)
+		}
+	default:
+		ep.response = ease(ep.response, max(2*ep.response, took, seconds(slowLeast)))
+		s.failure(ep, false, e.Outcome == NoRoute)
+	}
+	if c.left == 0 && e.Outcome != NoRoute && e.Outcome != Stale {
+		s.giveBack(ep)
+	}
+}
+
+// giveBack closes idle connections that stand in other senders' way: an endpoint's table may be small, idle
+// ones counted, and a large fleet fills it. It acts where the connection would be closed before its next use
+// anyway, and at a kind where connects failed of late; there it costs handshakes while the sign lasts.
+func (s *Sender) giveBack(ep *endpoint) {
+	unused := s.cfg.ConnIdle > 0 && (ep.gap == 0 || ep.gap > seconds(s.cfg.ConnIdle))
+	if len(ep.dest.waiting) == 0 && (unused || s.now < s.crowded[ep.dest.kind]) {
+		s.do(HangUp{Endpoint: ep.id})
+	}
+}
+
+// cut lowers this sender's part of the limit at a refusal. It knows its part by its own demand: whatever it
+// was, it falls to that at once and is halved from there, for where refused calls use up the limit, a fleet
+// that goes on asking gets nothing. The next call comes at any moment of the new pace, lest all come at once.
+func (s *Sender) cut(d *destination, r *route) {
+	if limit := s.limit(r); limit > 0 {
+		r.part = min(r.part, 2*d.rate(s.now)/limit)
+	}
+	r.part = max(r.part*partCut, 0.5/float64(s.cfg.Fleet))
+	r.partAt = s.now
+	r.tokens = min(r.tokens, s.rng.Float64())
+}
+
+func ease(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + smoothing*(min(sample, 20*old)-old)
+}
+
+// failure notes a sign of an outage. It covers every kind: refused connections, errors, silence, shut doors.
+// A route gone sick gets single trials with growing pauses; the cold budget holds until it is surely warm.
+// One failure is no outage: a run is, if it is longer than the failures met everywhere explain. So a
+// lossy path of our own does not make all destinations look struck. Only calls that follow a pass there count
+// in that share, or an outage would raise the bar for itself. Routes apart of one destination add up their
+// runs, for an outage mostly takes them all and each sees few calls.
+func (s *Sender) failure(ep *endpoint, sure, harmless bool) {
+	r := ep.route
+	r.harmless, r.partAt = harmless, s.now
+	r.fails++
+	if !r.sick {
+		if r.fails == 1 {
+			r.failedAt = s.now
+			s.failing += failWeight * (1 - s.failing)
+		}
+		least := float64(sickCount)
+		if s.now-r.failedAt >= sickSpan || ep.dest.rate(s.now)*seconds(sickSpan) < rareCalls {
+			least--
+		}
+		run := max(least, math.Log(chanceRun)/math.Log(min(max(s.failing, 0.01), 0.7)))
+		fails := r.fails
+		for _, mate := range ep.dest.endpoints {
+			if mate.route != r {
+				fails += mate.route.fails
+			}
+		}
+		if sure || float64(fails) >= run {
+			s.strike(r)
+		}
+	} else if s.now >= r.trialAt {
+		r.backoff = min(2*r.backoff, trialLast)
+		r.trialAt = s.now + r.backoff/2 + time.Duration(s.rng.Int64N(int64(r.backoff)))
+	}
+}
+
+// strike opens an outage. The allowance starts anywhere below one call, or the senders of a large fleet, most
+// of which hold a single message, would all try at the same age of the outage.
+func (s *Sender) strike(r *route) {
+	if !r.recovering() {
+		r.struckAt, r.demand = s.now, 1
+		r.tokens, r.tokensAt = s.rng.Float64(), s.now
+	}
+	r.sick, r.backoff, r.coldFrom = true, trialFirst, 0
+	r.trialAt = s.now + r.backoff
+}
+
+// passed notes a delivered call: the end of an outage, a step of the recovery, or plain health.
+func (s *Sender) passed(r *route) {
+	if !r.sick && r.fails == 0 {
+		s.failing *= 1 - failWeight
+	}
+	r.rest, r.fails = 0, 0
+	if gap := seconds(s.now - r.passedAt); gap > 1 {
+		r.busiest = max(r.busiest, r.passed/gap)
+		r.passed, r.passedAt = 0, s.now
+	}
+	r.passed++
+	// A rare sender's part would never come back in steps of a second; it grows by its whole pause where the
+	// destination tells that there is room.
+	most := max(1, r.left*seconds(demandSpan))
+	r.part = min(1, r.part+partGrow*max(r.part, 1/float64(s.cfg.Fleet))*min(most, seconds(s.now-r.partAt)))
+	r.partAt = s.now
+	switch {
+	case r.sick:
+		r.sick, r.coldFrom = false, s.now
+	case r.coldFrom > 0 && s.now-r.coldFrom > s.cfg.WarmWithin:
+		r.coldFrom = 0
+	}
+}
+
+// recovering tells that the route is struck, or not yet surely warm again.
+func (r *route) recovering() bool { return r.sick || r.coldFrom > 0 }
+
+// capacity is a careful guess of what the route takes a second from all senders when it is warm.
+func (s *Sender) capacity(r *route) float64 {
+	switch {
+	case r.limit > 0:
+		return r.limit
+	case r.weight > 0 && s.cfg.RoughWeights:
+		return r.weight / roughWeight
+	case r.weight > 0:
+		return r.weight
+	}
+	return max(r.busiest, 1)
+}
+
+// pace is how many calls a second this sender may send on the route, and whether it is so bound. Of the cold
+// budget it takes what its own demand since the outage began calls for: over all senders that sums up to what
+// the destination is asked for, which a warm one can do. An even share starves the few senders of a large
+// fleet that hold messages, and wastes what the others leave.
+func (s *Sender) pace(r *route) (rate float64, bound bool) {
+	if r.recovering() && s.cfg.Fall > 0 && s.cfg.FallMultiple > 0 {
+		share := s.cfg.ColdFrom
+		if r.coldFrom > 0 && s.cfg.WarmWithin > 0 {
+			share += (1 - share) * min(1, seconds(s.now-r.coldFrom)/seconds(s.cfg.WarmWithin))
+		}
+		even := s.capacity(r) / float64(s.cfg.Fleet)
+		own := r.demand / max(seconds(s.now-r.struckAt), seconds(s.cfg.Fall))
+		part := max(knowingShare*even, demandShare*min(own, s.capacity(r)))
+		return s.cfg.FallMultiple * share * part, true
+	}
+	limit := s.limit(r)
+	return r.part * limit, limit > 0
+}
+
+// limit is what the route takes a second from all senders as far as it is told, 0 for no limit.
+func (s *Sender) limit(r *route) float64 {
+	if !r.reported && r.weight > 0 {
+		return r.weight
+	}
+	return r.limit
+}
+
+// rate is how many messages a second came here for the destination of late.
+func (d *destination) rate(now time.Duration) float64 {
+	return d.came * math.Exp(-seconds(now-d.cameAt)/seconds(demandSpan)) / seconds(demandSpan)
+}
+
+// refill brings the token bucket up to now. On the way back from an outage nothing is saved up for a burst.
+func (s *Sender) refill(r *route) {
+	rate, bound := s.pace(r)
+	if !bound {
+		r.tokens, r.tokensAt = 1, s.now
+		return
+	}
+	most := max(1, burstSpan*rate)
+	if r.recovering() {
+		most = 1
+	}
+	r.tokens = min(r.tokens+rate*seconds(s.now-r.tokensAt), most)
+	r.tokensAt = s.now
+}
+
+// slow tells that a destination's oldest call has been out far longer than usual: before any time-out has
+// passed, silence and crawling look like this. Its share of the slots is capped then.
+func (s *Sender) slow(d *destination) bool {
+	if len(d.calls) == 0 {
+		return false
+	}
+	c := d.calls[0]
+	return seconds(s.now-c.sentAt) > max(slowFactor*c.ep.usual, seconds(slowLeast))
+}
+
+// spend brings the slot time that the destination had of late up to now.
+func (d *destination) spend(now time.Duration) {
+	fade := math.Exp(-seconds(now-d.usedAt) / seconds(slotSpan))
+	d.used = d.used*fade + float64(len(d.calls))*seconds(slotSpan)*(1-fade)
+	d.usedAt = now
+}
+
+// lame tells that a destination is slow, or that at each of its routes the last call failed. With few slots,
+// first tries at silent destinations held them all.
+func (s *Sender) lame(d *destination) bool {
+	for _, e := range d.endpoints {
+		if e.ready && e.route.fails == 0 {
+			return s.slow(d)
+		}
+	}
+	return true
+}
+
+// lameHeld counts the slots that lame destinations hold.
+func (s *Sender) lameHeld() int {
+	n := 0
+	for _, d := range s.active {
+		if len(d.calls) > 0 && s.lame(d) {
+			n += len(d.calls)
+		}
+	}
+	return n
+}
+
+// preempt calls off calls that are out far longer than usual while no slot is free: silence, be it a few
+// destinations' or a lossy path's, must not stop delivery to all the others. A call whose messages may be
+// repeated goes first and at once; one that may not, only while slow destinations hold more than their share
+// of the slots, for it ends failed. Called-off work may be wasted; a full node would lose far more.
+func (s *Sender) preempt() {
+	if !s.cfg.MayCancel || s.cfg.Slots <= 0 || s.busy < s.cfg.Slots {
+		return
+	}
+	held, oldest, late := 0, (*call)(nil), 0.0
+	for _, d := range s.active {
+		slow := s.slow(d)
+		for _, c := range d.calls {
+			if c.called {
+				return // its slot is about to come back
+			}
+			if slow {
+				held++
+			}
+			patience := max(slowFactor*c.ep.usual, seconds(slowLeast))
+			patience *= math.Pow(timeoutGrow, float64(c.ep.route.fails))
+			over := seconds(s.now-c.sentAt) / patience
+			if (c.repeatable && over > 1) || (!c.repeatable && slow && oldest == nil) {
+				if oldest == nil || (c.repeatable && (!oldest.repeatable || over > late)) {
+					oldest, late = c, over
+				}
+			}
+		}
+	}
+	if oldest == nil || (!oldest.repeatable && float64(held) <= slowShare*float64(s.cfg.Slots)) {
+		return
+	}
+	oldest.called = true
+	for _, a := range oldest.sends {
+		if s.sent[a].c == oldest {
+			s.do(Cancel{ID: a.id, Attempt: a.n})
+		}
+	}
+}
+
+// release fills free slots: the waiting destination that had the least slot time of late comes first, so that
+// one whose calls last long does not get as many slots as a fast one.
+func (s *Sender) release() {
+	s.active = slices.DeleteFunc(s.active, func(d *destination) bool {
+		d.spend(s.now)
+		d.active = len(d.waiting)+len(d.calls) > 0
+		return !d.active
+	})
+	for {
+		var best *destination
+		var bestMsg *message
+		var bestEp *endpoint
+		if s.cfg.Slots > 0 && s.busy >= s.cfg.Slots {
+			return
+		}
+		for _, d := range s.active {
+			if len(d.waiting) == 0 || (best != nil && d.used >= best.used) {
+				continue
+			}
+			if m, ep := s.next(d); m != nil {
+				best, bestMsg, bestEp = d, m, ep
+			}
+		}
+		if best == nil {
+			return
+		}
+		s.send(best, bestMsg, bestEp)
+	}
+}
+
+// next finds the message a destination would release now, and its endpoint. The order is that of arrival,
+// unless the queue is so long that waiting costs worth: then the one that loses most by waiting as long
+// as the oldest has waited goes first.
+func (s *Sender) next(d *destination) (*message, *endpoint) {
+	if s.lame(d) && s.cfg.Slots > 0 && float64(s.lameHeld()) >= max(1, slowShare*float64(s.cfg.Slots)) {
+		return nil, nil
+	}
+	open := false
+	for _, e := range d.endpoints {
+		s.refill(e.route)
+		open = open || s.routeOpen(e)
+	}
+	if !open {
+		return nil, nil
+	}
+	horizon := s.now - d.waiting[0].arrived
+	var best *message
+	var bestEp *endpoint
+	most := -1.0
+	for _, m := range d.waiting {
+		if loss := s.loss(m, horizon); loss > most {
+			if ep := s.draw(m); ep != nil {
+				best, bestEp, most = m, ep, loss
+			}
+		}
+	}
+	return best, bestEp
+}
+
+// loss is the worth that a message loses by waiting for another span.
+func (s *Sender) loss(m *message, wait time.Duration) float64 {
+	usual := time.Duration(0)
+	if e := m.dest.endpoints; len(e) > 0 {
+		usual = span(e[0].usual)
+	}
+	return s.value(m, s.now+usual) - s.value(m, s.now+usual+wait)
+}
+
+// value is what a delivery at a moment is worth.
+func (s *Sender) value(m *message, at time.Duration) float64 {
+	age, late := at-m.born, m.class.LateWorth
+	switch {
+	case at > m.dropDead:
+		return 0
+	case age <= m.aim || m.aim <= 0:
+		return m.worth
+	case s.cfg.Halves:
+		return m.worth * max(late, math.Exp2(-float64(age-m.aim)/float64(m.aim)))
+	}
+	return m.worth * (1 - (1-late)*float64(age-m.aim)/float64(max(m.class.Deadline-m.aim, 1)))
+}
+
+// draw picks an endpoint at random among those that pass the check, odds falling with smoothed latency.
+func (s *Sender) draw(m *message) *endpoint {
+	total := 0.0
+	var fit []*endpoint
+	var odds []float64
+	for _, e := range m.dest.endpoints {
+		if s.check(m, e) {
+			o := math.Pow(max(e.response, seconds(floorResponse)), -drawPower)
+			fit, odds, total = append(fit, e), append(odds, o), total+o
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	x := s.rng.Float64() * total
+	for i, e := range fit {
+		if x -= odds[i]; x < 0 {
+			return e
+		}
+	}
+	return fit[len(fit)-1]
+}
+
+// routeOpen is the part of the check that hangs on the endpoint alone: drain, wait, health, budget and pace.
+func (s *Sender) routeOpen(e *endpoint) bool {
+	r := e.route
+	if !e.ready || s.now < r.waitUntil || r.tokens < 1 {
+		return false
+	}
+	return !r.sick || (!r.trial && s.now >= r.trialAt)
+}
+
+// check is the one gate before every send; no path goes round it.
+func (s *Sender) check(m *message, e *endpoint) bool {
+	if m.over || m.out > 0 || s.now < m.notBefore || s.spent(m) || !s.routeOpen(e) {
+		return false
+	}
+	if s.cfg.Slots > 0 && s.busy >= s.cfg.Slots || s.now >= m.dropDead-endMargin-2*s.cfg.Tick {
+		return false
+	}
+	switch m.class.Effect {
+	case Unsafe:
+		// On a sick route an unsafe message risks an unsure end, unless failures there prove that
+		// nothing ran; with most of its time gone it has less to lose.
+		spent := s.now-m.arrived > (m.dropDead-m.arrived)/2
+		if m.touched || (e.route.sick && !e.route.harmless && !spent) {
+			return false
+		}
+	case Keyed:
+		if m.touched && (s.now > s.windowEnd(m) || (!m.class.GroupAll && e.zone != m.zone)) {
+			return false
+		}
+	}
+	if m.key != "" {
+		s.trimLine(m.key)
+		// Whoever had the turn before may try again without a rest.
+		line := s.lines[m.key]
+		if (s.now < s.rests[m.key] && m.attempts == 0) || (len(line) > 0 && line[0] != m) {
+			return false
+		}
+	}
+	return true
+}
+
+// send sends a message and, where the kind allows, more of the destination's waiting ones in the same call.
+func (s *Sender) send(d *destination, m *message, e *endpoint) {
+	r := e.route
+	c := &call{ep: e, sentAt: s.now, trial: r.sick, repeatable: true}
+	r.trial = r.trial || c.trial
+	group := []*message{m}
+	for _, o := range d.waiting {
+		if len(group) >= s.batch(d) || c.trial {
+			break
+		}
+		if o != m && s.check(o, e) {
+			group = append(group, o)
+		}
+	}
+	for _, o := range group {
+		d.dequeue(o)
+		a := attempt{o.id, o.attempts}
+		s.sent[a], c.sends = sending{o, c}, append(c.sends, a)
+		o.attempts++
+		o.out++
+		c.left++
+		c.repeatable = c.repeatable && o.class.Effect != Unsafe
+		s.do(Send{ID: o.id, Endpoint: e.id, NotPast: s.timeout(o, e)})
+	}
+	r.tokens--
+	if e.sentAt > 0 {
+		e.gap = ease(e.gap, seconds(s.now-e.sentAt))
+	}
+	e.sentAt = s.now
+	s.busy++
+	d.calls = append(d.calls, c)
+	d.used += seconds(sendCharge)
+}
+
+// timeout is the clock time at which an attempt is abandoned. An unsafe message cannot be tried again, so it
+// is given all its time.
+func (s *Sender) timeout(m *message, e *endpoint) time.Duration {
+	last := m.dropDead - endMargin/2
+	if m.class.Effect == Unsafe {
+		return last
+	}
+	aim := seconds(m.aim)
+	t := max(timeoutFactor*e.usual, timeoutLeast*aim) * math.Pow(timeoutGrow, float64(e.route.fails))
+	if e.usual == 0 {
+		t = aim
+	}
+	t = min(t, timeoutAims*aim)
+	return min(last, s.now+span(t))
+}
+
+// probed takes the result of a probe as it takes that of a call.
+func (s *Sender) probed(e Probed) {
+	if ep := s.eps[e.Endpoint]; ep != nil {
+		s.report(ep.route, e.Report)
+		s.judge(&call{ep: ep, trial: true}, Ended{Outcome: e.Outcome, Took: e.Took})
+	}
+}
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,229 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Sender decides for one delivery node.
+type Sender struct {
+	cfg     Settings
+	rng     *rand.Rand
+	now     time.Duration
+	dests   map[int]*destination
+	order   []*destination // in order of first mention, so that nothing hangs on map order
+	eps     map[string]*endpoint
+	msgs    map[string]*message
+	open    []*message // in order of arrival; ended ones are swept out
+	lines   map[string][]*message
+	rests   map[string]time.Duration // keys at rest until then
+	crowded map[int]time.Duration    // connection tables of a kind seem full until then
+	tenants []tenant
+	busy    int                 // calls out
+	sent    map[attempt]sending // attempts without an outcome
+	active  []*destination      // with messages waiting or calls out; swept in release
+	wakeAt  time.Duration       // the earliest wake asked for
+	asking  time.Duration       // pause before the list is asked for again
+	askAt   time.Duration
+	failing float64 // smoothed share of failures at routes not known to be struck
+	actions []Action
+}
+
+type tenant struct {
+	tokens float64
+	at     time.Duration
+}
+
+// destination is one partner: its gate, endpoints and waiting messages.
+type destination struct {
+	gate      gate
+	kind      int
+	shared    *route // of all endpoints, unless they are routes apart
+	endpoints []*endpoint
+	waiting   []*message // in order of arrival
+	used      float64    // slot time it had of late, in seconds
+	usedAt    time.Duration
+	calls     []*call // out, oldest first
+	lastTrial time.Duration
+	came      float64 // messages that came of late, fading
+	cameAt    time.Duration
+	active    bool // stands in the sender's list of those with something to do
+}
+
+// gate is the two-bound admission control of the paper, for one destination.
+type gate struct {
+	average, baseline float64 // seconds
+	at                time.Duration
+	seen, shut        bool
+}
+
+// route is what limits, waits and outages bind: a destination, or an endpoint that is a route apart.
+type route struct {
+	waitUntil time.Duration // rule six
+	limit     float64       // calls a second as reported
+	reported  bool
+	left      float64 // share of it left at the last report
+	weight    float64
+	part      float64 // this sender's part of the limit
+	partAt    time.Duration
+	tokens    float64
+	tokensAt  time.Duration
+	fails     int           // failures in a row
+	failedAt  time.Duration // the first of them
+	rest      time.Duration // after the last of the refusals in a row
+	sick      bool
+	harmless  bool // the last failure proved that nothing ran
+	trialAt   time.Duration
+	backoff   time.Duration
+	trial     bool          // a trial is out
+	coldFrom  time.Duration // start of the recovery; 0 none
+	struckAt  time.Duration // start of the outage
+	demand    float64       // this sender's messages for the route since then
+	busiest   float64       // most calls passed in a second, for want of any limit
+	passed    float64
+	passedAt  time.Duration
+}
+
+type endpoint struct {
+	id       string
+	zone     int
+	dest     *destination
+	route    *route
+	ready    bool
+	response float64       // smoothed seconds, failures counting slow
+	usual    float64       // smoothed seconds of passed calls
+	sentAt   time.Duration // last call
+	gap      float64       // smoothed seconds between calls
+}
+
+type message struct {
+	id        string
+	class     *Class
+	key       string
+	worth     float64
+	dest      *destination
+	arrived   time.Duration
+	born      time.Duration // first hand-in, as far as the deadline tells
+	aim       time.Duration
+	dropDead  time.Duration
+	attempts  int
+	out       int
+	mayRun    time.Duration // send time of the first attempt that may have run
+	touched   bool          // there is such an attempt
+	zone      int           // its endpoint's zone
+	notBefore time.Duration
+	waits     bool
+	over      bool
+}
+
+// attempt names one Send.
+type attempt struct {
+	id string
+	n  int
+}
+
+// sending is a message in a call.
+type sending struct {
+	m *message
+	c *call
+}
+
+// call is one call at an endpoint, with one or several messages.
+type call struct {
+	ep         *endpoint
+	sentAt     time.Duration
+	left       int
+	trial      bool
+	sends      []attempt
+	called     bool // called off
+	repeatable bool // none of its messages is unsafe
+}
+
+// do adds an action to the reply.
+func (s *Sender) do(a Action) { s.actions = append(s.actions, a) }
+
+// seconds and span convert between durations and seconds.
+func seconds(t time.Duration) float64 { return t.Seconds() }
+
+func span(sec float64) time.Duration { return time.Duration(sec * float64(time.Second)) }
+
+// destination returns the state of a destination, new if it was not mentioned before.
+func (s *Sender) destination(id int) *destination {
+	d := s.dests[id]
+	if d == nil {
+		d = &destination{shared: newRoute()}
+		s.dests[id] = d
+		s.order = append(s.order, d)
+	}
+	return d
+}
+
+// apart tells that the endpoints are routes of their own.
+func (s *Sender) apart(d *destination) bool {
+	return d.kind >= 0 && d.kind < len(s.cfg.Kinds) && s.cfg.Kinds[d.kind].Apart
+}
+
+// batch is the most messages in one call.
+func (s *Sender) batch(d *destination) int {
+	if d.kind < 0 || d.kind >= len(s.cfg.Kinds) {
+		return 1
+	}
+	return max(s.cfg.Kinds[d.kind].Batch, 1)
+}
+
+// enqueue puts a message among its destination's waiting, in order of arrival.
+func (s *Sender) enqueue(m *message) {
+	if m.waits || m.over {
+		return
+	}
+	d := m.dest
+	if !d.active {
+		d.active = true
+		s.active = append(s.active, d)
+	}
+	m.waits = true
+	i := len(d.waiting)
+	for i > 0 && d.waiting[i-1].arrived > m.arrived {
+		i--
+	}
+	d.waiting = append(d.waiting, nil)
+	copy(d.waiting[i+1:], d.waiting[i:])
+	d.waiting[i] = m
+}
+
+// dequeue takes it out again.
+func (d *destination) dequeue(m *message) {
+	if !m.waits {
+		return
+	}
+	m.waits = false
+	for i, w := range d.waiting {
+		if w == m {
+			d.waiting = append(d.waiting[:i], d.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// hangEnd gives back the slot of a call all of whose messages have their outcomes.
+func (s *Sender) hangEnd(c *call) {
+	s.busy--
+	d := c.ep.dest
+	for i, o := range d.calls {
+		if o == c {
+			d.calls = append(d.calls[:i], d.calls[i+1:]...)
+			break
+		}
+	}
+}
+
+// trimLine drops ended messages from the head of a key's line; one with an attempt out still holds its turn.
+func (s *Sender) trimLine(key string) {
+	line := s.lines[key]
+	for len(line) > 0 && line[0].over && line[0].out == 0 {
+		line = line[1:]
+	}
+	if s.lines[key] = line; len(line) == 0 {
+		delete(s.lines, key)
+	}
+}
--- /dev/null
+++ b/choice/types.go
@@ -0,0 +1,212 @@
+package choice
+
+import "time"
+
+// Effect tells what a repeat of a message may do at its destination.
+type Effect uint8
+
+// The effects of a class.
+const (
+	Safe   Effect = iota // repeats are harmless
+	Keyed                // repeats are dropped for a while
+	Unsafe               // must never run twice
+)
+
+// Class describes one kind of message. A zero field was not given.
+type Class struct {
+	Aim, Deadline time.Duration // full worth until Aim, some until Deadline, both from the first hand-in
+	AimStretch    float64       // extra aim, as a multiple of the message's hint
+	Worth         float64
+	LateWorth     float64 // share of Worth left at the deadline
+	Effect        Effect
+	Window        time.Duration // Keyed: how long repeats are dropped
+	GroupAll      bool          // Keyed: every endpoint of the destination drops repeats, not one zone's only
+	Ordered       bool          // messages with one key take turns
+}
+
+// Kind describes one kind of destination.
+type Kind struct {
+	Apart bool // endpoints are routes with limits and outages of their own
+	Batch int  // messages in one call at most
+}
+
+// Tenant is a customer with a share of the service.
+type Tenant struct {
+	PerSecond float64 // requests inside its share, all senders together
+}
+
+// Settings are the facts a sender is born with. Zero means not given.
+type Settings struct {
+	Classes        []Class
+	Kinds          []Kind
+	Tenants        []Tenant
+	Fleet          int // senders altogether
+	Slots          int // calls out at once
+	MaxOpen        int // messages held, sent or not
+	MaxAttempts    int
+	MayDuplicate   bool
+	MayProbe       bool
+	MayCancel      bool
+	AskForList     bool // changes of the list come only on request
+	Halves         bool // worth halves with each further aim; otherwise it falls evenly
+	RoughWeights   bool // an endpoint's Weight may be half too high or too low
+	Weighted       bool // an endpoint's Weight is a rate in calls a second
+	OverShareWorth float64
+	ZoneFee        []float64
+	Tick           time.Duration
+	MaxRetryAfter  time.Duration
+	DialTimeout    time.Duration
+	ConnIdle       time.Duration // idle connections are closed after this
+	DrainGrace     time.Duration
+	AnswerGrace    time.Duration
+	FallMultiple   float64 // a cold destination falls above this multiple of its capacity,
+	Fall           time.Duration
+	ColdFrom       float64 // share of its capacity that it has when it returns,
+	WarmWithin     time.Duration
+	OrderSettle    time.Duration
+	MustAsk        time.Duration
+}
+
+// Outcome is how an attempt or a probe ended.
+type Outcome uint8
+
+// The outcomes. NoRoom, NoRoute and Stale prove that nothing ran.
+const (
+	Pass Outcome = iota
+	Fault
+	NoRoom
+	TooSlow
+	NoRoute
+	Cut
+	Undone
+	Stale
+)
+
+// Report is what an endpoint says of its limit. A missing value has its flag off.
+type Report struct {
+	Left, Limit       float64 // share of the limit left; the limit in calls a second, 0 for none
+	HasLeft, HasLimit bool
+}
+
+// Phase is an endpoint's place in the list.
+type Phase uint8
+
+// The phases.
+const (
+	Ready Phase = iota
+	Draining
+	Gone
+)
+
+// Entry is one endpoint of a list.
+type Entry struct {
+	Endpoint   string
+	Zone, Kind int
+	Dest       int
+	Phase      Phase
+	Weight     float64
+}
+
+// Event is one piece of news for a sender: Listed, Arrived, Ended, Dropped, Probed or Rang.
+type Event interface{ event() }
+
+// Listed brings the list of endpoints, whole or as changes.
+type Listed struct {
+	Whole, Failed bool
+	Entries       []Entry
+}
+
+// Arrived is a new message.
+type Arrived struct {
+	ID                  string
+	Class, Tenant, Dest int
+	Key                 string
+	DropDead            time.Duration // clock time after which it cannot be delivered
+	Hint                time.Duration
+}
+
+// Ended is the one outcome of a Send.
+type Ended struct {
+	ID       string
+	Attempt  int
+	Endpoint string
+	Outcome  Outcome
+	Took     time.Duration
+	Closed   bool          // the message is over
+	Wait     time.Duration // NoRoom: the wait told
+	NoSlot   bool          // Stale: all slots were taken
+	Report   Report
+}
+
+// Dropped says that nobody wants the message any more.
+type Dropped struct{ ID string }
+
+// Probed is the result of a Probe.
+type Probed struct {
+	Endpoint string
+	Outcome  Outcome
+	Took     time.Duration
+	Report   Report
+}
+
+// Rang says that a Wake has fallen due.
+type Rang struct{ Tag string }
+
+func (Listed) event()  {}
+func (Arrived) event() {}
+func (Ended) event()   {}
+func (Dropped) event() {}
+func (Probed) event()  {}
+func (Rang) event()    {}
+
+// Action is one decision: Send, PushBack, Fail, Cancel, Probe, HangUp, Wake, Watch or Note.
+type Action interface{ action() }
+
+// Send calls an endpoint with a message; it is abandoned at NotPast.
+type Send struct {
+	ID, Endpoint string
+	NotPast      time.Duration
+}
+
+// PushBack ends a message undelivered; the client may safely come again after RetryAfter.
+type PushBack struct {
+	ID         string
+	RetryAfter time.Duration
+}
+
+// Fail ends a message and promises nothing.
+type Fail struct{ ID string }
+
+// Cancel calls off an attempt that is out.
+type Cancel struct {
+	ID      string
+	Attempt int
+}
+
+// Probe sends a check.
+type Probe struct{ Endpoint string }
+
+// HangUp gives back idle connections.
+type HangUp struct{ Endpoint string }
+
+// Wake asks for a Rang at a clock time.
+type Wake struct {
+	At  time.Duration
+	Tag string
+}
+
+// Watch asks for changes of the list.
+type Watch struct{}
+
+// Note is a line for the log.
+type Note struct{ Text string }
+
+func (Send) action()     {}
+func (PushBack) action() {}
+func (Fail) action()     {}
+func (Cancel) action()   {}
+func (Probe) action()    {}
+func (HangUp) action()   {}
+func (Wake) action()     {}
+func (Watch) action()    {}
+func (Note) action()     {}
