--- a/choice/choice.go
+++ b/choice/choice.go
@@ -97,6 +97,8 @@
 		switch e := e.(type) {
 		case Arrived:
 			s.arrived(e)
+		case Resumed:
+			s.resumed(e)
 		case Ended:
 			s.ended(e)
 		case Probed:
@@ -107,6 +109,8 @@
 			}
 		case Rang:
 			s.wakeAt = 0 // a rounded clock may ring a little before the time
+		case Leaving:
+			s.leaving = true
 		}
 	}
 	if s.askAt > 0 && now >= s.askAt {
@@ -114,8 +118,10 @@
 		s.do(Watch{})
 	}
 	s.expire()
-	s.release()
-	s.preempt()
+	if !s.leaving { // what is held goes on in the next life; what may have run by then might be lost
+		s.release()
+		s.preempt()
+	}
 	s.arm()
 	return s.actions
 }
@@ -182,6 +188,16 @@
 	if s.msgs[e.ID] != nil {
 		return
 	}
+	m, d := s.take(e)
+	if !s.admit(d, m) {
+		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(d)})
+		return
+	}
+	s.hold(m, e.Key)
+}
+
+// take notes a new message and its demand on the destination.
+func (s *Sender) take(e Arrived) (*message, *destination) {
 	d := s.destination(e.Dest)
 	d.came, d.cameAt = d.rate(s.now)*seconds(demandSpan)+1, s.now
 	class := &Class{}
@@ -197,21 +213,46 @@
 		m.worth *= s.cfg.OverShareWorth
 	}
 	s.msgs[m.id] = m
-	if !s.admit(d, m) {
-		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(d)})
-		return
-	}
+	return m, d
+}
+
+// hold puts a message that was taken on among the waiting.
+func (s *Sender) hold(m *message, key string) {
 	s.open = append(s.open, m)
-	if class.Ordered && e.Key != "" {
-		m.key = e.Key
+	if m.class.Ordered && key != "" {
+		m.key = key
 		s.lines[m.key] = append(s.lines[m.key], m)
 	}
 	s.enqueue(m)
-	for _, e := range d.endpoints {
+	for _, e := range m.dest.endpoints {
 		if e.route.recovering() {
-			e.route.demand += 1 / float64(len(d.endpoints))
+			e.route.demand += 1 / float64(len(m.dest.endpoints))
+		}
+	}
+}
+
+// resumed takes back a message from before a restart. It was admitted then, so no gate is asked; what may have
+// run already and may not be repeated ends here. A failure known from before may have been an outage's, whose
+// end this life did not see: the way back there is taken as cold.
+func (s *Sender) resumed(e Resumed) {
+	if s.msgs[e.ID] != nil {
+		return
+	}
+	m, d := s.take(e.Arrived)
+	m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect != Safe
+	m.mayRun, m.zone = e.MayRun, e.Zone
+	late := m.touched && m.class.Effect == Keyed && s.now >= s.windowEnd(m)
+	if (m.touched && m.class.Effect == Unsafe) || late || s.spent(m) || s.now >= m.dropDead-endMargin {
+		s.giveUp(m)
+		return
+	}
+	for _, ep := range d.endpoints {
+		if r := ep.route; e.Failed && !r.recovering() {
+			s.strike(r)
+			r.sick, r.coldFrom = false, s.now
 		}
 	}
+	s.hold(m, e.Key)
 }
 
 // inShare counts a request against its tenant's share, of which this sender sees its part.
--- a/choice/state.go
+++ b/choice/state.go
@@ -25,6 +25,7 @@
 	wakeAt  time.Duration       // the earliest wake asked for
 	asking  time.Duration       // pause before the list is asked for again
 	askAt   time.Duration
+	leaving bool
 	failing float64 // smoothed share of failures at routes not known to be struck
 	actions []Action
 }
--- a/choice/types.go
+++ b/choice/types.go
@@ -107,7 +107,8 @@
 	Weight     float64
 }
 
-// Event is one piece of news for a sender: Listed, Arrived, Ended, Dropped, Probed or Rang.
+// Event is one piece of news for a sender: Listed, Arrived, Resumed, Ended, Dropped, Probed, Rang
+// or Leaving.
 type Event interface{ event() }
 
 // Listed brings the list of endpoints, whole or as changes.
@@ -125,6 +126,16 @@
 	Hint                time.Duration
 }
 
+// Resumed is a message that the node took on before its process ended, and whose end it still owes.
+type Resumed struct {
+	Arrived
+	Attempts int           // attempts used so far
+	Failed   bool          // one of them is known to have failed
+	Touched  bool          // one of them may have run,
+	MayRun   time.Duration // and the first of these was sent then,
+	Zone     int           // to an endpoint of this zone
+}
+
 // Ended is the one outcome of a Send.
 type Ended struct {
 	ID       string
@@ -152,8 +163,13 @@
 // Rang says that a Wake has fallen due.
 type Rang struct{ Tag string }
 
+// Leaving says that the process is about to end: what is out may finish, and nothing new should be sent.
+type Leaving struct{}
+
+func (Leaving) event() {}
 func (Listed) event()  {}
 func (Arrived) event() {}
+func (Resumed) event() {}
 func (Ended) event()   {}
 func (Dropped) event() {}
 func (Probed) event()  {}
--- /dev/null
+++ b/internal/node/calls.go
@@ -0,0 +1,306 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"starlingusher/choice"
+)
+
+// net/http's Transport is not used for calls: it takes a request with an Idempotency-Key for replayable and
+// sends it again by itself when a reused connection breaks, dials beside a call that may find an idle
+// connection first, and does not tell how much of a request was written. Here a request is written once, on
+// one connection, by one Write.
+
+const (
+	maxAnswerHead = 32 << 10
+	maxAnswerBody = maxBody
+	idleMargin    = 400 * time.Millisecond // an endpoint's idle clock may be ahead of ours by an answer's way
+	loadHeader    = "Endpoint-Load-Metrics"
+	maxContinues  = 8 // 1xx answers ahead of the real one
+	longestWait   = 10 * time.Minute
+)
+
+// call is one attempt to be made.
+type call struct {
+	id, key  string
+	body     []byte
+	endpoint *endpoint
+	notPast  time.Time
+}
+
+// result is how it ended.
+type result struct {
+	outcome choice.Outcome
+	wait    time.Duration
+	noSlot  bool
+	closed  bool
+	report  choice.Report
+}
+
+// pool makes calls, on connections that it keeps between them.
+type pool struct {
+	dialTimeout, idleFor time.Duration
+	maxIdle              int
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by endpoint; the last one was used last
+	size int
+}
+
+// conn is a connection to an endpoint.
+type conn struct {
+	net.Conn
+	addr    string
+	limit   *io.LimitedReader
+	br      *bufio.Reader
+	watched chan error // the idle watch's end
+}
+
+func newPool(dialTimeout, connIdle time.Duration, maxIdle int) *pool {
+	if dialTimeout <= 0 {
+		dialTimeout = time.Second
+	}
+	return &pool{
+		dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
+		idle: map[string][]*conn{},
+	}
+}
+
+// do makes one call. It returns when its slot is free again: at the answer, or with the connection closed.
+func (p *pool) do(ctx context.Context, c call) result {
+	ctx, cancel := context.WithDeadline(ctx, c.notPast)
+	defer cancel()
+	request, err := encodeRequest(c)
+	if err != nil {
+		return result{outcome: choice.Stale}
+	}
+	if c.endpoint.closedTo(time.Now()) || ctx.Err() != nil {
+		return result{outcome: choice.Stale}
+	}
+	k := p.take(c.endpoint)
+	if k == nil {
+		if k, err = p.dial(ctx, c.endpoint.addr); err != nil {
+			return result{outcome: choice.NoRoute}
+		}
+	}
+	// A dial takes up to a second; a wait told or a drain heard of meanwhile forbids the first byte.
+	if c.endpoint.closedTo(time.Now()) {
+		p.give(c.endpoint, k)
+		return result{outcome: choice.Stale}
+	}
+	stop := context.AfterFunc(ctx, func() { k.Close() })
+	res, reuse := k.exchange(ctx, request)
+	if stop() && reuse {
+		p.give(c.endpoint, k)
+	} else {
+		k.Close()
+	}
+	return res
+}
+
+func encodeRequest(c call) ([]byte, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+c.endpoint.addr+"/v1/messages", bytes.NewReader(c.body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header = http.Header{
+		"X-Trace-Id":   {c.id},
+		"X-Expires-In": {strconv.FormatInt(max(time.Until(c.notPast).Milliseconds(), 1), 10) + "m"},
+		"User-Agent":   {"coralyard"},
+	}
+	if c.key != "" {
+		req.Header["Idempotency-Key"] = []string{c.key}
+	}
+	var b bytes.Buffer
+	if err := req.Write(&b); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
+	d := net.Dialer{Timeout: p.dialTimeout}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	l := &io.LimitedReader{R: nc}
+	return &conn{Conn: nc, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096)}, nil
+}
+
+// exchange writes the request and reads the answer; reuse tells that the connection is good for another call.
+func (k *conn) exchange(ctx context.Context, request []byte) (res result, reuse bool) {
+	if n, err := k.Write(request); err != nil && n < len(request) {
+		return result{outcome: choice.NoRoute}, false // without its last byte the endpoint has not begun it
+	}
+	res, reuse, err := k.answer()
+	if err == nil {
+		return res, reuse
+	}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return result{outcome: choice.TooSlow}, false
+	case ctx.Err() != nil:
+		return result{outcome: choice.Undone}, false
+	}
+	return result{outcome: choice.Cut}, false
+}
+
+// answer reads one answer and tells whether the connection may carry another call.
+func (k *conn) answer() (result, bool, error) {
+	for range maxContinues {
+		k.limit.N = maxAnswerHead + maxAnswerBody
+		resp, err := http.ReadResponse(k.br, nil)
+		if err != nil {
+			return result{}, false, fmt.Errorf("answer: %w", err)
+		}
+		if resp.StatusCode < 200 {
+			continue
+		}
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBody+1))
+		resp.Body.Close()
+		// More than the answer in the buffer belongs to no call.
+		reuse := err == nil && n <= maxAnswerBody && !resp.Close && k.br.Buffered() == 0
+		return outcome(resp), reuse, nil
+	}
+	return result{}, false, errors.New("answer: only 1xx")
+}
+
+// outcome reads the protocol's table of answers.
+func outcome(resp *http.Response) result {
+	res := result{report: loadReport(resp.Header.Get(loadHeader))}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		res.outcome, res.closed = choice.Pass, true
+	case http.StatusTooManyRequests:
+		res.outcome = choice.NoRoom
+		if sec, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && sec > 0 {
+			res.wait = time.Duration(min(sec, longestWait.Seconds()) * float64(time.Second))
+		}
+	case http.StatusServiceUnavailable:
+		res.outcome = choice.NoRoom
+		if resp.Header.Get("X-Line-Busy") == "1" {
+			res.outcome, res.noSlot = choice.Stale, true
+		}
+	case http.StatusGatewayTimeout:
+		res.outcome = choice.Stale
+	case http.StatusGone:
+		res.outcome, res.closed = choice.Stale, true
+	default: // 500, and what the protocol does not know: it may have run
+		res.outcome = choice.Fault
+	}
+	return res
+}
+
+// loadReport reads "x0=0.4,x1=25"; what can't be read is left out.
+func loadReport(text string) choice.Report {
+	var r choice.Report
+	for field := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		v, err := strconv.ParseFloat(value, 64)
+		if err != nil || v != v {
+			continue
+		}
+		switch name {
+		case "x0":
+			r.Left, r.HasLeft = v, true
+		case "x1":
+			r.Limit, r.HasLimit = v, true
+		}
+	}
+	return r
+}
+
+// take returns a kept connection that is still good, the one used last, or nil.
+func (p *pool) take(e *endpoint) *conn {
+	for {
+		p.mu.Lock()
+		kept := p.idle[e.id]
+		if len(kept) == 0 {
+			p.mu.Unlock()
+			return nil
+		}
+		k := kept[len(kept)-1]
+		p.drop(e.id, len(kept)-1)
+		p.mu.Unlock()
+		// The watch is called back from its read. Had the endpoint closed or said anything, it would not
+		// end by this time-out, and a request would be a sure reset.
+		k.SetReadDeadline(time.Unix(1, 0))
+		err := <-k.watched
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() && k.addr == e.addr && k.SetReadDeadline(time.Time{}) == nil {
+			return k
+		}
+		k.Close()
+	}
+}
+
+// drop takes the i-th kept connection of an endpoint out; the lock is held.
+func (p *pool) drop(id string, i int) {
+	p.size--
+	if p.idle[id] = slices.Delete(p.idle[id], i, i+1); len(p.idle[id]) == 0 {
+		delete(p.idle, id)
+	}
+}
+
+// give keeps a connection for the next call, and watches it: it is closed when the endpoint closes it, sends
+// something unasked for, or when it has stood idle for nearly as long as the endpoint allows.
+func (p *pool) give(e *endpoint, k *conn) {
+	k.watched = make(chan error, 1)
+	k.limit.N = 1
+	p.mu.Lock()
+	if p.size >= p.maxIdle || k.SetReadDeadline(time.Now().Add(p.idleFor)) != nil {
+		p.mu.Unlock()
+		k.Close()
+		return
+	}
+	p.idle[e.id] = append(p.idle[e.id], k)
+	p.size++
+	p.mu.Unlock()
+	go func() { // ends with the connection, or when take calls it back
+		_, err := k.br.Peek(1)
+		p.mu.Lock()
+		if i := slices.Index(p.idle[e.id], k); i >= 0 {
+			p.drop(e.id, i)
+			k.Close()
+		}
+		p.mu.Unlock()
+		k.watched <- err
+	}()
+}
+
+// hangUp closes the kept connections of an endpoint.
+func (p *pool) hangUp(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, k := range p.idle[id] {
+		k.Close()
+	}
+	p.size -= len(p.idle[id])
+	delete(p.idle, id)
+}
+
+// close closes all kept connections.
+func (p *pool) close() {
+	p.mu.Lock()
+	ids := make([]string, 0, len(p.idle))
+	for id := range p.idle {
+		ids = append(ids, id)
+	}
+	p.mu.Unlock()
+	for _, id := range ids {
+		p.hangUp(id)
+	}
+}
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"starlingusher/choice"
+	"starlingusher/internal/wire"
+)
+
+const (
+	maxListLine  = 4 << 20
+	watchSilence = 10 * time.Second // an empty line comes every 2 s while discovery is up
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 2 * time.Second
+)
+
+// list is discovery's form of the list of endpoints, whole or as changes.
+type list struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+type member struct {
+	ID       string  `json:"id"`
+	Addr     string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+}
+
+var phases = map[string]choice.Phase{
+	"SERVING": choice.Ready, "DRAINING": choice.Draining, "DELETED": choice.Gone,
+}
+
+// entries converts a list for the module. A member of a phase that is not known is taken as draining.
+func (l list) entries(names wire.Names) []choice.Entry {
+	out := make([]choice.Entry, 0, len(l.Members))
+	for _, m := range l.Members {
+		phase, ok := phases[m.Phase]
+		if !ok {
+			phase = choice.Draining
+		}
+		out = append(out, choice.Entry{
+			Endpoint: m.ID, Zone: slices.Index(names.Zones, m.Locality), Kind: slices.Index(names.Kinds, m.Flavor),
+			Dest: m.Cell, Phase: phase, Weight: m.Size,
+		})
+	}
+	return out
+}
+
+// endpoint is what calls need to know of one; the loop writes it, calls in flight read it.
+type endpoint struct {
+	id, addr string
+	zone     int
+	shut     atomic.Bool   // it drains or is gone
+	wait     *atomic.Int64 // Unix time in nanoseconds; its destination, or route, asked to be left alone until then
+}
+
+// closedTo tells that nothing new may go to the endpoint now.
+func (e *endpoint) closedTo(now time.Time) bool {
+	return e.shut.Load() || now.UnixNano() < e.wait.Load()
+}
+
+// backoff is a pause that doubles, with half of it left to chance so that nodes don't return in step.
+type backoff time.Duration
+
+func (b *backoff) next() time.Duration {
+	*b = min(max(2**b, backoff(firstBackoff)), backoff(lastBackoff))
+	return time.Duration(*b)/2 + rand.N(time.Duration(*b)/2)
+}
+
+// sleep waits, and tells whether the context is still alive after it.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// watch follows discovery until the context ends, and hands each list on.
+func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, tell func(list)) {
+	var pause backoff
+	for ctx.Err() == nil {
+		err := watchOnce(ctx, client, addr, after, func(l list) {
+			after, pause = l.Revision, 0
+			tell(l)
+		})
+		if ctx.Err() == nil {
+			log.Debug("watch ended", "err", err)
+			sleep(ctx, pause.next())
+		}
+	}
+}
+
+// watchOnce follows one watch to its end. One that has gone silent is given up: its machine may be gone.
+func watchOnce(ctx context.Context, client *http.Client, addr string, after int64, tell func(list)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(watchSilence, cancel)
+	defer silence.Stop()
+	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", addr, after)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("watch: %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 0, 16<<10), maxListLine)
+	for lines.Scan() {
+		silence.Reset(watchSilence)
+		line := bytes.TrimSpace(lines.Bytes())
+		if len(line) == 0 {
+			continue
+		}
+		var l list
+		if err := json.Unmarshal(line, &l); err != nil {
+			return fmt.Errorf("watch: %w", err)
+		}
+		tell(l)
+	}
+	return errors.Join(lines.Err(), io.EOF)
+}
--- /dev/null
+++ b/internal/node/journal.go
@@ -0,0 +1,341 @@
+package node
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// The journal is one file of records, appended only. A record is its payload's length and CRC-32, four bytes
+// each, and the payload: a kind, the number of its message and what the kind calls for. What a process has
+// written outlasts it, so nothing is synced; a kill can at most tear the last record.
+
+const (
+	recAccepted byte = iota + 1 // a message was taken on
+	recAttempt                  // an attempt is about to be sent
+	recNotRun                   // that attempt is proven not to have run
+	recEnded                    // the final answer, whose notice is still owed
+	recOver                     // nothing is owed any more
+)
+
+const (
+	journalName    = "journal"
+	recordHead     = 8
+	maxRecord      = maxBody + 4*maxWord + 64
+	messageReserve = 1024      // room for the small records that will follow an accepted message
+	minCompact     = 256 << 10 // a smaller file is not worth compacting
+	defaultDiskMB  = 3
+	compactPause   = 100 * time.Millisecond // after a failed compaction
+)
+
+var (
+	errDiskBudget  = errors.New("the journal's share of the disk is used up")
+	errJournalDown = errors.New("journal: it could not be written a moment ago")
+)
+
+// past is all that the journal knows of a message that still owes something.
+type past struct {
+	seq      uint64
+	id, key  string
+	class    int
+	dest     int
+	body     []byte
+	deadline time.Time
+	sends    []pastSend
+	ended    *ending
+}
+
+// pastSend is an attempt of which no outcome but a proof of not having run is written.
+type pastSend struct {
+	at     time.Time
+	zone   int
+	notRun bool
+}
+
+// ending is the final answer of a message.
+type ending struct {
+	failed bool
+	after  time.Duration
+}
+
+// size is about the room that a message takes in the journal.
+func (p *past) size() int64 {
+	return int64(len(p.body)+len(p.id)+len(p.key)) + messageReserve
+}
+
+// journal appends records and keeps what is live, so that it can write the file anew.
+type journal struct {
+	dir     string
+	budget  int64
+	f       *os.File
+	written int64 // good bytes in the file
+	live    map[uint64]*past
+	held    int64  // sum of the sizes of what is live
+	pending []byte // records not yet in the file
+	next    uint64
+	broken  bool // the file lacks records of what is live; only a new file will do
+	retryAt time.Time
+}
+
+// openJournal replays the journal in dir, as far as its records are whole.
+func openJournal(dir string, diskMB float64) (*journal, error) {
+	if diskMB <= 0 {
+		diskMB = defaultDiskMB
+	}
+	j := &journal{dir: dir, budget: int64(diskMB*(1<<20)) - 16<<10, live: map[uint64]*past{}, next: 1}
+	// A compaction that was cut short left its file; the old one is still whole.
+	if err := os.Remove(j.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	f, err := os.OpenFile(j.path(), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	j.f = f
+	r := bufio.NewReaderSize(f, 64<<10)
+	for {
+		payload, err := readRecord(r)
+		if err != nil {
+			break // the end, or a torn tail: what it would have guarded was not done
+		}
+		j.apply(payload)
+		j.written += int64(recordHead + len(payload))
+	}
+	if err := j.rewind(); err != nil {
+		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
+	}
+	return j, nil
+}
+
+func (j *journal) path() string { return filepath.Join(j.dir, journalName) }
+
+func readRecord(r io.Reader) ([]byte, error) {
+	var head [recordHead]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, err
+	}
+	n := binary.LittleEndian.Uint32(head[:])
+	if n == 0 || n > maxRecord {
+		return nil, errors.New("a record of impossible length")
+	}
+	payload := make([]byte, n)
+	if _, err := io.ReadFull(r, payload); err != nil {
+		return nil, err
+	}
+	if crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(head[4:]) {
+		return nil, errors.New("a record with a wrong checksum")
+	}
+	return payload, nil
+}
+
+// fields reads the fields of a payload; bad is set when it is too short.
+type fields struct {
+	b   []byte
+	bad bool
+}
+
+func (f *fields) number() uint64 {
+	v, n := binary.Uvarint(f.b)
+	if n <= 0 {
+		f.bad, f.b = true, nil
+		return 0
+	}
+	f.b = f.b[n:]
+	return v
+}
+
+func (f *fields) bytes() []byte {
+	n := f.number()
+	if n > uint64(len(f.b)) {
+		f.bad, f.b = true, nil
+		return nil
+	}
+	v := f.b[:n]
+	f.b = f.b[n:]
+	return v
+}
+
+func (f *fields) time() time.Time { return time.UnixMicro(int64(f.number())) }
+
+func appendBytes(b, v []byte) []byte {
+	return append(binary.AppendUvarint(b, uint64(len(v))), v...)
+}
+
+func appendTime(b []byte, t time.Time) []byte {
+	return binary.AppendUvarint(b, uint64(t.UnixMicro()))
+}
+
+// apply brings what is live up to date with one record.
+func (j *journal) apply(payload []byte) {
+	f := &fields{b: payload[1:]}
+	seq := f.number()
+	j.next = max(j.next, seq+1)
+	p := j.live[seq]
+	if p == nil && payload[0] != recAccepted {
+		return
+	}
+	switch payload[0] {
+	case recAccepted:
+		p = &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
+			deadline: f.time(), body: f.bytes()}
+		if !f.bad {
+			j.live[seq] = p
+			j.held += p.size()
+		}
+	case recAttempt:
+		s := pastSend{at: f.time(), zone: int(f.number())}
+		if !f.bad {
+			p.sends = append(p.sends, s)
+		}
+	case recNotRun:
+		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
+			p.sends[n].notRun = true
+		}
+	case recEnded:
+		e := &ending{failed: f.number() == 1, after: time.Duration(f.number()) * time.Millisecond}
+		if !f.bad {
+			j.held -= p.size()
+			p.ended, p.body, p.sends = e, nil, nil // only the notice is owed
+			j.held += p.size()
+		}
+	case recOver:
+		j.held -= p.size()
+		delete(j.live, seq)
+	}
+}
+
+// add queues a record for the next flush, and brings what is live up to date.
+func (j *journal) add(payload []byte) {
+	j.pending = appendRecord(j.pending, payload)
+	j.apply(payload)
+}
+
+func appendRecord(b, payload []byte) []byte {
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
+	b = binary.LittleEndian.AppendUint32(b, crc32.ChecksumIEEE(payload))
+	return append(b, payload...)
+}
+
+func record(kind byte, seq uint64) []byte { return binary.AppendUvarint([]byte{kind}, seq) }
+
+func acceptedRecord(p *past) []byte {
+	b := record(recAccepted, p.seq)
+	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
+	return appendBytes(appendTime(b, p.deadline), p.body)
+}
+
+func attemptRecord(seq uint64, at time.Time, zone int) []byte {
+	return binary.AppendUvarint(appendTime(record(recAttempt, seq), at), uint64(zone))
+}
+
+func notRunRecord(seq uint64, attempt int) []byte {
+	return binary.AppendUvarint(record(recNotRun, seq), uint64(attempt))
+}
+
+func endedRecord(seq uint64, e ending) []byte {
+	failed := uint64(0)
+	if e.failed {
+		failed = 1
+	}
+	b := binary.AppendUvarint(record(recEnded, seq), failed)
+	return binary.AppendUvarint(b, uint64(e.after/time.Millisecond))
+}
+
+// accept numbers a new message, queues its record and returns what is kept of it; it refuses what the disk may not have room for.
+// Twice what is live must fit, since a compaction holds the old file and the new one at once.
+func (j *journal) accept(p *past) (*past, error) {
+	if j.broken {
+		return nil, errJournalDown
+	}
+	if 2*(j.held+p.size())+int64(len(j.pending)) > j.budget {
+		return nil, errDiskBudget
+	}
+	p.seq = j.next
+	j.add(acceptedRecord(p))
+	return j.live[p.seq], nil
+}
+
+// flush writes what is queued. On an error nothing that the queued records guard may be done. What is live
+// stays true all the same, and goes to a new file as soon as one can be written.
+func (j *journal) flush() error {
+	if len(j.pending) == 0 && !j.broken {
+		return nil
+	}
+	after := j.written + int64(len(j.pending))
+	if j.broken || after+j.held > j.budget || (after > minCompact && after > 4*j.held) {
+		return j.compact()
+	}
+	if _, err := j.f.WriteAt(j.pending, j.written); err != nil {
+		// Whole records of what is not going to be done must not be found at the next start.
+		j.pending, j.broken = nil, true
+		return fmt.Errorf("journal: %w", errors.Join(err, j.rewind()))
+	}
+	j.written = after
+	j.pending = j.pending[:0]
+	return nil
+}
+
+// rewind cuts off whatever stands behind the last whole record.
+func (j *journal) rewind() error {
+	return j.f.Truncate(j.written)
+}
+
+// compact writes what is live, queued records included, to a new file that takes the old one's place.
+func (j *journal) compact() (err error) {
+	if time.Now().Before(j.retryAt) {
+		return errJournalDown
+	}
+	defer func() {
+		if err != nil { // a full disk should not have all that is live written to it again and again
+			j.pending, j.broken, j.retryAt = nil, true, time.Now().Add(compactPause)
+		}
+	}()
+	f, err := os.OpenFile(j.path()+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return fmt.Errorf("journal: compaction: %w", err)
+	}
+	defer func() {
+		if err != nil {
+			err = errors.Join(fmt.Errorf("journal: compaction: %w", err), f.Close(), os.Remove(f.Name()))
+		}
+	}()
+	w := bufio.NewWriterSize(f, 64<<10)
+	size := int64(0)
+	put := func(payload []byte) {
+		n, _ := w.Write(appendRecord(nil, payload)) // the error stays with w
+		size += int64(n)
+	}
+	for _, p := range j.live {
+		put(acceptedRecord(p))
+		for i, s := range p.sends {
+			put(attemptRecord(p.seq, s.at, s.zone))
+			if s.notRun {
+				put(notRunRecord(p.seq, i))
+			}
+		}
+		if p.ended != nil {
+			put(endedRecord(p.seq, *p.ended))
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if err := os.Rename(f.Name(), j.path()); err != nil {
+		return err
+	}
+	old := j.f
+	j.f, j.written, j.pending, j.broken = f, size, nil, false // a large buffer is not kept
+	old.Close()                                               // nothing of the old file is needed any more
+	return nil
+}
+
+func (j *journal) close() error {
+	return errors.Join(j.flush(), j.f.Close())
+}
--- /dev/null
+++ b/internal/node/notices.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"time"
+)
+
+const (
+	maxNotices    = 256 // in one request
+	noticeTimeout = 2 * time.Second
+)
+
+// notice is the end of a message that was taken on and not delivered.
+type notice struct {
+	of      *past
+	ID      string `json:"id"`
+	State   string `json:"state"`
+	AfterMS int64  `json:"after_ms,omitempty"`
+}
+
+func newNotice(p *past) notice {
+	n := notice{of: p, ID: p.id, State: "returned", AfterMS: p.ended.after.Milliseconds()}
+	if p.ended.failed {
+		n.State, n.AfterMS = "failed", 0
+	}
+	return n
+}
+
+// report posts each batch of notices until it is answered 204, and then says so. A notice may be posted twice:
+// one for a message that is over does no harm.
+func report(ctx context.Context, log *slog.Logger, client *http.Client, addr string, in <-chan []notice, settled func([]notice)) {
+	for {
+		var batch []notice
+		select {
+		case <-ctx.Done():
+			return
+		case batch = <-in:
+		}
+		for len(batch) > 0 {
+			some := batch[:min(len(batch), maxNotices)]
+			var pause backoff
+			for {
+				err := post(ctx, client, addr, some)
+				if err == nil {
+					break
+				}
+				if ctx.Err() != nil {
+					return
+				}
+				log.Warn("notices not taken", "count", len(some), "err", err)
+				if !sleep(ctx, pause.next()) {
+					return
+				}
+			}
+			settled(some)
+			batch = batch[len(some):]
+		}
+	}
+}
+
+func post(ctx context.Context, client *http.Client, addr string, batch []notice) error {
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b) // one object a line
+	for _, n := range batch {
+		if err := enc.Encode(n); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/reports", &b)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/x-ndjson")
+	resp, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody)); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("reports: %s", resp.Status)
+	}
+	return nil
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -108,3 +108,27 @@
 	}
 	return s, nil
 }
+
+// Names are the words that the settings give to classes, kinds and zones; a word's place is its number.
+type Names struct {
+	Classes, Kinds, Zones []string
+}
+
+// SettingsNames reads the names from the settings.
+func SettingsNames(raw json.RawMessage) (Names, error) {
+	var c struct {
+		Categories []struct {
+			Name string `json:"name"`
+		} `json:"categories"`
+		Flavors []string `json:"flavors"`
+		Zones   []string `json:"failureDomains"`
+	}
+	if err := json.Unmarshal(raw, &c); err != nil {
+		return Names{}, fmt.Errorf("settings: %w", err)
+	}
+	n := Names{Kinds: c.Flavors, Zones: c.Zones}
+	for _, k := range c.Categories {
+		n.Classes = append(n.Classes, k.Name)
+	}
+	return n, nil
+}
