--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -19,7 +19,8 @@
 const (
 	recAccepted byte = iota + 1 // a message was taken on
 	recAttempt                  // an attempt is about to be sent
-	recNotRun                   // that attempt is proven not to have run
+	recNotRun                   // an attempt failed and is proven not to have run
+	recFailed                   // an attempt failed and may have run
 	recEnded                    // the final answer, whose notice is still owed
 	recOver                     // nothing is owed any more
 )
@@ -51,11 +52,11 @@
 	ended    *ending
 }
 
-// pastSend is an attempt of which no outcome but a proof of not having run is written.
+// pastSend is an attempt. One that has not failed was out when the journal ended, and may have run as well.
 type pastSend struct {
-	at     time.Time
-	zone   int
-	notRun bool
+	at             time.Time
+	zone           int
+	notRun, failed bool
 }
 
 // ending is the final answer of a message.
@@ -195,7 +196,11 @@
 		}
 	case recNotRun:
 		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
-			p.sends[n].notRun = true
+			p.sends[n].notRun, p.sends[n].failed = true, true
+		}
+	case recFailed:
+		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
+			p.sends[n].failed = true
 		}
 	case recEnded:
 		e := &ending{failed: f.number() == 1, after: time.Duration(f.number()) * time.Millisecond}
@@ -235,8 +240,9 @@
 	return binary.AppendUvarint(appendTime(record(recAttempt, seq), at), uint64(zone))
 }
 
-func notRunRecord(seq uint64, attempt int) []byte {
-	return binary.AppendUvarint(record(recNotRun, seq), uint64(attempt))
+// outcomeRecord is of recNotRun or recFailed.
+func outcomeRecord(kind byte, seq uint64, attempt int) []byte {
+	return binary.AppendUvarint(record(kind, seq), uint64(attempt))
 }
 
 func endedRecord(seq uint64, e ending) []byte {
@@ -316,8 +322,11 @@
 		put(acceptedRecord(p))
 		for i, s := range p.sends {
 			put(attemptRecord(p.seq, s.at, s.zone))
-			if s.notRun {
-				put(notRunRecord(p.seq, i))
+			switch {
+			case s.notRun:
+				put(outcomeRecord(recNotRun, p.seq, i))
+			case s.failed:
+				put(outcomeRecord(recFailed, p.seq, i))
 			}
 		}
 		if p.ended != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,9 +175,9 @@
 
 // resumed tells the module of a message's past. An attempt that is not proven not to have run may have.
 func (n *Node) resumed(p *past) choice.Resumed {
-	r := choice.Resumed{Arrived: n.arrived(p), Attempts: len(p.sends), Failed: len(p.sends) > 1}
+	r := choice.Resumed{Arrived: n.arrived(p), Attempts: len(p.sends)}
 	for _, s := range p.sends {
-		r.Failed = r.Failed || s.notRun
+		r.Failed = r.Failed || s.failed
 		if !s.notRun && !r.Touched {
 			r.Touched, r.MayRun, r.Zone = true, n.at(s.at), s.zone
 		}
@@ -381,8 +381,11 @@
 	m := n.out[e.attempt].m
 	delete(n.out, e.attempt)
 	switch e.outcome {
+	case choice.Pass:
 	case choice.NoRoom, choice.NoRoute, choice.Stale:
-		n.journal.add(notRunRecord(m.seq, e.n))
+		n.journal.add(outcomeRecord(recNotRun, m.seq, e.n))
+	default:
+		n.journal.add(outcomeRecord(recFailed, m.seq, e.n))
 	}
 	if e.closed && m.ended == nil {
 		n.forget(m)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -480,7 +480,7 @@
 					t.Fatal(err)
 				}
 				for i, rec := range [][]byte{
-					attemptRecord(m.seq, time.Now(), 0), notRunRecord(m.seq, 0), endedRecord(m.seq, ending{after: time.Second}),
+					attemptRecord(m.seq, time.Now(), 0), outcomeRecord(recNotRun, m.seq, 0), endedRecord(m.seq, ending{after: time.Second}),
 				} {
 					if i < point {
 						j.add(rec)
@@ -505,6 +505,37 @@
 	}
 }
 
+// The module must hear after a restart that a destination failed before it, or it would meet one that is coming
+// back cold with the whole backlog. A call that was merely out when the process died is no such sign.
+func TestFailuresAreRememberedAcrossARestart(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name            string
+		records         func(seq uint64) []byte
+		failed, touched bool
+	}{
+		{"out at the kill", func(seq uint64) []byte { return nil }, false, true},
+		{"timed out", func(seq uint64) []byte { return outcomeRecord(recFailed, seq, 0) }, true, true},
+		{"refused", func(seq uint64) []byte { return outcomeRecord(recNotRun, seq, 0) }, true, false},
+	} {
+		dir := t.TempDir()
+		j := openTest(t, dir, 3)
+		m := mustAccept(t, j, "a", nil)
+		j.add(attemptRecord(m.seq, time.Now(), 0))
+		if rec := c.records(m.seq); rec != nil {
+			j.add(rec)
+		}
+		mustFlush(t, j)
+		n := &Node{start: time.Now()}
+		for _, p := range openTest(t, dir, 3).live {
+			r := n.resumed(p)
+			if r.Failed != c.failed || r.Touched != c.touched || r.Attempts != 1 || (r.Touched && r.MayRun > n.now()) {
+				t.Errorf("%s: got %+v", c.name, r)
+			}
+		}
+	}
+}
+
 func TestOverdueAndPastTheWindowEndAtOnce(t *testing.T) {
 	t.Parallel()
 	p, r, state := newPartner(t, says(delivered)), newRegistry(t), t.TempDir()
