--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -25,8 +25,9 @@
 	maxSkipped = 1 << 20 // of a body that is too large, so that the connection stays of use
 	maxLife    = 24 * time.Hour
 
-	requestTimeout = 5 * time.Second // from a request's first byte to its last, and to write an answer
-	lingerTimeout  = time.Second     // in which a client may read why it is being hung up on
+	requestTimeout = 5 * time.Second        // from a request's first byte to its last, and to write an answer
+	closeGrace     = 500 * time.Millisecond // for requests that are half read when the node leaves
+	lingerTimeout  = 300 * time.Millisecond // in which a client may read why it is being hung up on
 )
 
 // request is one message as a client hands it in.
@@ -319,7 +320,8 @@
 	}
 }
 
-// close stops accepting, hangs up on clients between requests, and lets the others have their answer first.
+// close stops accepting, hangs up on clients between requests, and lets the others have their answer first. A
+// client that is slow with the rest of its request must not hold the node until it is killed.
 func (c *clients) close() {
 	close(c.stop)
 	c.ln.Close()
@@ -333,5 +335,13 @@
 		}
 	}
 	c.mu.Unlock()
+	slow := time.AfterFunc(closeGrace, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for nc := range c.idle {
+			nc.Close()
+		}
+	})
+	defer slow.Stop()
 	c.wg.Wait()
 }
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -166,6 +166,26 @@
 	<-done
 }
 
+// Half a request must not keep the node from leaving before it is killed.
+func TestCloseDoesNotWaitForHalfARequest(t *testing.T) {
+	c, addr := serveTest(t, 100, func(request) answer { return answer{} })
+	nc, br := dialTest(t, addr)
+	io.WriteString(nc, resp("PING")+"*5\r\n$7\r\nENQ")
+	if line, err := br.ReadString('\n'); line != "+PONG\r\n" {
+		t.Fatalf("got %q, %v", line, err)
+	}
+	done := make(chan struct{})
+	go func() {
+		c.close()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(requestTimeout - time.Second):
+		t.Error("the node waits for the rest of a request")
+	}
+}
+
 // Descriptors are bounded: a connection beyond the places waits, and is served when one is free.
 func TestConnectionsAreCapped(t *testing.T) {
 	_, addr := serveTest(t, 1, func(request) answer { return answer{} })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,8 +24,8 @@
 	// After SIGTERM clients go on coming for 0.4 s, and SIGKILL comes after 3.7 s. Until holdAfter all goes on
 	// as ever; then the module is told to send nothing new, and what is out has until leaveAfter to end. All the
 	// while messages are taken on: the journal has them for the next start.
-	holdAfter  = 1500 * time.Millisecond
-	leaveAfter = 2500 * time.Millisecond
+	holdAfter  = 1200 * time.Millisecond
+	leaveAfter = 2700 * time.Millisecond
 )
 
 // attempt names a call that is out.
@@ -115,7 +115,7 @@
 	// The parts outlive ctx by the time that it takes to leave.
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	n.step(life, n.recover(), nil)
+	n.step(life, n.replayed(), nil)
 
 	var parts sync.WaitGroup
 	parts.Go(func() {
@@ -151,8 +151,8 @@
 	return n.journal.close()
 }
 
-// recover makes the first events: the list as it was last known, and what the journal says is still owed.
-func (n *Node) recover() []choice.Event {
+// replayed makes the first events: the list as it was last known, and what the journal says is still owed.
+func (n *Node) replayed() []choice.Event {
 	known := n.cfg.Known
 	known.Complete = true
 	events := []choice.Event{n.listed(known)}
@@ -175,7 +175,7 @@
 
 // resumed tells the module of a message's past. An attempt that is not proven not to have run may have.
 func (n *Node) resumed(p *past) choice.Resumed {
-	r := choice.Resumed{Arrived: n.arrived(p), Attempts: len(p.sends)}
+	r := choice.Resumed{Arrived: n.arrived(p, p.deadline), Attempts: len(p.sends)}
 	for _, s := range p.sends {
 		r.Failed = r.Failed || s.failed
 		if !s.notRun && !r.Touched {
@@ -185,8 +185,10 @@
 	return r
 }
 
-func (n *Node) arrived(p *past) choice.Arrived {
-	return choice.Arrived{ID: p.id, Class: p.class, Dest: p.dest, Key: p.key, DropDead: n.at(p.deadline)}
+// arrived is the module's event of a message. A deadline that has not been through the journal is on the
+// monotonic clock, so that a step of the wall clock does not move it.
+func (n *Node) arrived(p *past, deadline time.Time) choice.Arrived {
+	return choice.Arrived{ID: p.id, Class: p.class, Dest: p.dest, Key: p.key, DropDead: n.at(deadline)}
 }
 
 // tell hands the loop an event.
@@ -276,7 +278,7 @@
 				continue
 			}
 			fresh[e.id] = e
-			events = append(events, n.arrived(n.messages[e.id]))
+			events = append(events, n.arrived(n.messages[e.id], e.came.Add(e.life)))
 		}
 	}
 	// What the module is about to be told of, and the clients with it, rests on these records.
