--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -134,3 +134,14 @@
 		t.Error("an unknown effect was taken")
 	}
 }
+
+func TestSettingsNames(t *testing.T) {
+	n, err := SettingsNames(json.RawMessage(`{"categories":[{"name":"a"},{"name":"b"}],"flavors":["big"],"failureDomains":["z1","z2"]}`))
+	want := Names{Classes: []string{"a", "b"}, Kinds: []string{"big"}, Zones: []string{"z1", "z2"}}
+	if err != nil || !reflect.DeepEqual(n, want) {
+		t.Errorf("got %+v, %v", n, err)
+	}
+	if _, err := SettingsNames(json.RawMessage(`[]`)); err == nil {
+		t.Error("settings that are no object were taken")
+	}
+}
