--- a/choice/choice.go
+++ b/choice/choice.go
@@ -327,6 +327,9 @@
 	return after
 }
 
+// StayAway is how long a client should stay away whose message is turned away before the gate, for want of room.
+func (s *Sender) StayAway(dest int) time.Duration { return s.retryAfter(s.destination(dest)) }
+
 // finish ends a message; a is nil when it is over without our doing.
 func (s *Sender) finish(m *message, a Action) {
 	if m.over {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -26,10 +27,13 @@
 const (
 	maxAnswerHead = 32 << 10
 	maxAnswerBody = maxBody
+	answerTimeout = 500 * time.Millisecond // from an answer's first byte to its last
 	idleMargin    = 400 * time.Millisecond // an endpoint's idle clock may be ahead of ours by an answer's way
 	loadHeader    = "Endpoint-Load-Metrics"
 	maxContinues  = 8 // 1xx answers ahead of the real one
 	longestWait   = 10 * time.Minute
+	mostLeft      = 2   // in a load report: of a share, which may be noisy,
+	mostLimit     = 1e6 // and of a limit
 )
 
 // call is one attempt to be made.
@@ -47,6 +51,7 @@
 	noSlot  bool
 	closed  bool
 	report  choice.Report
+	heard   time.Time // when its first line was read, if one was
 }
 
 // pool makes calls, on connections that it keeps between them.
@@ -136,8 +141,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return newConn(nc, addr), nil
+}
+
+func newConn(nc net.Conn, addr string) *conn {
 	l := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096)}, nil
+	return &conn{Conn: nc, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096)}
 }
 
 // exchange writes the request and reads the answer; reuse tells that the connection is good for another call.
@@ -158,35 +167,91 @@
 	return result{outcome: choice.Cut}, false
 }
 
-// answer reads one answer and tells whether the connection may carry another call.
+// answer reads one answer and tells whether the connection may carry another call. A 200 holds from its first
+// line on: the message is delivered, whatever becomes of the rest. Any other answer has to come whole, within
+// bounds of size and time, to prove anything. What stands behind an answer ends the connection, not the answer.
 func (k *conn) answer() (result, bool, error) {
 	for range maxContinues {
 		k.limit.N = maxAnswerHead + maxAnswerBody
-		resp, err := http.ReadResponse(k.br, nil)
+		if _, err := k.br.Peek(1); err != nil {
+			return result{}, false, fmt.Errorf("answer: %w", err)
+		}
+		if err := k.SetReadDeadline(time.Now().Add(answerTimeout)); err != nil {
+			return result{}, false, fmt.Errorf("answer: %w", err)
+		}
+		code, err := k.status()
+		heard := time.Now()
+		if err != nil {
+			return result{}, false, fmt.Errorf("answer: %w", err)
+		}
+		res, reuse, err := k.rest()
+		if err != nil && code == http.StatusOK {
+			res, err = result{outcome: choice.Pass, closed: true}, nil
+		}
 		if err != nil {
 			return result{}, false, fmt.Errorf("answer: %w", err)
 		}
-		if resp.StatusCode < 200 {
-			continue
+		if err := k.SetReadDeadline(time.Time{}); err != nil {
+			reuse = false
+		}
+		if code >= 200 {
+			res.heard = heard
+			return res, reuse, nil
 		}
-		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBody+1))
-		resp.Body.Close()
-		// More than the answer in the buffer belongs to no call.
-		reuse := err == nil && n <= maxAnswerBody && !resp.Close && k.br.Buffered() == 0
-		return outcome(resp), reuse, nil
 	}
 	return result{}, false, errors.New("answer: only 1xx")
 }
 
+// status looks at the first line, as soon as it is there.
+func (k *conn) status() (int, error) {
+	for n := k.br.Buffered(); ; n = max(n+1, k.br.Buffered()) {
+		seen, err := k.br.Peek(n)
+		if line, _, ok := bytes.Cut(seen, []byte("\n")); ok {
+			return statusCode(strings.TrimSuffix(string(line), "\r"))
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// statusCode reads a line like "HTTP/1.1 200 OK".
+func statusCode(line string) (int, error) {
+	version, rest, _ := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(rest, " ")
+	n, err := number(code)
+	if err != nil || len(code) != 3 || n < 100 || (version != "HTTP/1.1" && version != "HTTP/1.0") {
+		return 0, errors.New("no HTTP")
+	}
+	return n, nil
+}
+
+// rest reads an answer of which the first line is known to be there.
+func (k *conn) rest() (result, bool, error) {
+	resp, err := http.ReadResponse(k.br, nil)
+	if err != nil {
+		return result{}, false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode < 200 {
+		return result{}, true, nil
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBody+1))
+	if err == nil && n > maxAnswerBody {
+		err = errors.New("the body is too large")
+	}
+	return outcome(resp), err == nil && !resp.Close && k.br.Buffered() == 0, err
+}
+
 // outcome reads the protocol's table of answers.
 func outcome(resp *http.Response) result {
-	res := result{report: loadReport(resp.Header.Get(loadHeader))}
+	res := result{report: loadReport(resp.Header.Values(loadHeader))}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		res.outcome, res.closed = choice.Pass, true
 	case http.StatusTooManyRequests:
 		res.outcome = choice.NoRoom
-		if sec, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil && sec > 0 {
+		if sec, err := decimal(resp.Header.Get("Retry-After"), math.MaxFloat64); err == nil {
 			res.wait = time.Duration(min(sec, longestWait.Seconds()) * float64(time.Second))
 		}
 	case http.StatusServiceUnavailable:
@@ -204,20 +269,27 @@
 	return res
 }
 
-// loadReport reads "x0=0.4,x1=25"; what can't be read is left out.
-func loadReport(text string) choice.Report {
+// loadReport reads "x0=0.4,x1=25". One that can't be read, be it in part, is none: the module believes a limit.
+func loadReport(values []string) choice.Report {
 	var r choice.Report
-	for field := range strings.SplitSeq(text, ",") {
+	if len(values) != 1 {
+		return r
+	}
+	for field := range strings.SplitSeq(values[0], ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
-		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || v != v {
-			continue
+		var err error
+		switch {
+		case name == "x0" && !r.HasLeft:
+			r.HasLeft = true
+			r.Left, err = decimal(value, mostLeft)
+		case name == "x1" && !r.HasLimit:
+			r.HasLimit = true
+			r.Limit, err = decimal(value, mostLimit)
+		default:
+			err = errors.New("no field of a report")
 		}
-		switch name {
-		case "x0":
-			r.Left, r.HasLeft = v, true
-		case "x1":
-			r.Limit, r.HasLimit = v, true
+		if err != nil {
+			return choice.Report{}
 		}
 	}
 	return r
@@ -261,7 +333,8 @@
 	k.watched = make(chan error, 1)
 	k.limit.N = 1
 	p.mu.Lock()
-	if p.size >= p.maxIdle || k.SetReadDeadline(time.Now().Add(p.idleFor)) != nil {
+	// An endpoint is shut before its kept connections are hung up on, so that none is kept after that.
+	if p.size >= p.maxIdle || e.shut.Load() || k.SetReadDeadline(time.Now().Add(p.idleFor)) != nil {
 		p.mu.Unlock()
 		k.Close()
 		return
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
+	queue "container/list"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,13 +24,22 @@
 	maxBody    = 64 << 10
 	maxWord    = 1 << 10 // of a request's words, all but the body
 	maxArgs    = 8
-	maxLine    = 512     // a length line, or an inline command
-	maxSkipped = 1 << 20 // of a body that is too large, so that the connection stays of use
+	bodyArg    = 4 // the body's place among the words of an ENQUEUE
+	maxLine    = 512
+	maxSkipped = 1 << 20 // of words that are too large, so that the connection stays of use
+	maxEmpty   = 16      // empty commands ahead of a real one
 	maxLife    = 24 * time.Hour
+	maxUnsent  = 4 << 10 // answers to commands that came together go out together
 
-	requestTimeout = 5 * time.Second        // from a request's first byte to its last, and to write an answer
+	// A client that says nothing, or does not come to the end of a request, is owed an error or a close within
+	// 3 s of connecting; these two together keep that. Others give up on an answer after 0.4 s.
+	idleTimeout    = 2 * time.Second
+	requestTimeout = 800 * time.Millisecond // from a request's first byte to its last, and to write an answer
 	closeGrace     = 500 * time.Millisecond // for requests that are half read when the node leaves
 	lingerTimeout  = 300 * time.Millisecond // in which a client may read why it is being hung up on
+	lookTime       = time.Millisecond
+	maxLooks       = 64                    // reads past the deadline, each of what had come by then
+	evictPause     = 20 * time.Millisecond // for a place that was asked back
 )
 
 // request is one message as a client hands it in.
@@ -64,26 +76,34 @@
 // errTooLarge is a request that was read to its end and can't be taken.
 var errTooLarge = errors.New("a body holds 65536 bytes at most")
 
-// readCommand reads an array of bulk strings or an inline command, within bounds.
+// readCommand reads an array of bulk strings or an inline command, within bounds. Empty commands are passed over.
 func readCommand(r *bufio.Reader) ([][]byte, error) {
-	line, err := readLine(r)
-	if err != nil || len(line) == 0 {
-		return nil, err
-	}
-	if line[0] != '*' {
-		var words [][]byte
-		for _, w := range strings.Fields(string(line)) {
-			words = append(words, []byte(w))
+	for range maxEmpty {
+		line, err := readLine(r)
+		if err != nil {
+			return nil, err
+		}
+		args := bytes.Fields(line)
+		if len(line) > 0 && line[0] == '*' {
+			if args, err = readArray(r, line[1:]); err != nil {
+				return nil, err
+			}
+		}
+		if len(args) > 0 {
+			return args, nil
 		}
-		return words, nil
 	}
-	count, err := strconv.Atoi(string(line[1:]))
-	if err != nil || count < 0 || count > maxArgs {
+	return nil, fmt.Errorf("%w: nothing but empty commands", errProtocol)
+}
+
+func readArray(r *bufio.Reader, length []byte) ([][]byte, error) {
+	count, err := number(string(length))
+	if err != nil || count > maxArgs {
 		return nil, fmt.Errorf("%w: invalid multibulk length", errProtocol)
 	}
 	args := make([][]byte, 0, count)
-	tooLarge := false
-	for range count {
+	skipped := 0
+	for i := range count {
 		line, err := readLine(r)
 		if err != nil {
 			return nil, unexpected(err)
@@ -91,32 +111,81 @@
 		if len(line) == 0 || line[0] != '$' {
 			return nil, fmt.Errorf("%w: expected '$'", errProtocol)
 		}
-		size, err := strconv.Atoi(string(line[1:]))
-		if err != nil || size < 0 || size > maxSkipped {
+		size, err := number(string(line[1:]))
+		if err != nil {
 			return nil, fmt.Errorf("%w: invalid bulk length", errProtocol)
 		}
-		if size > maxBody {
-			tooLarge = true
+		most := maxWord
+		if i == bodyArg {
+			most = maxBody
+		}
+		if size > most {
+			if skipped += size; skipped > maxSkipped {
+				return nil, fmt.Errorf("%w: invalid bulk length", errProtocol)
+			}
 			if _, err := r.Discard(size); err != nil {
 				return nil, unexpected(err)
 			}
 			size = 0
 		}
-		arg := make([]byte, size+2)
-		if _, err := io.ReadFull(r, arg); err != nil {
-			return nil, unexpected(err)
-		}
-		if string(arg[size:]) != "\r\n" {
-			return nil, fmt.Errorf("%w: a bulk string of another length than told", errProtocol)
+		arg, err := readBulk(r, size)
+		if err != nil {
+			return nil, err
 		}
-		args = append(args, arg[:size:size])
+		args = append(args, arg)
 	}
-	if tooLarge {
+	if skipped > 0 {
 		return nil, errTooLarge
 	}
 	return args, nil
 }
 
+// readBulk reads a bulk string and the end of its line. Room is made as the bytes come, not as they are announced.
+func readBulk(r *bufio.Reader, size int) ([]byte, error) {
+	arg := make([]byte, min(size+2, r.Size()))
+	if _, err := io.ReadFull(r, arg); err != nil {
+		return nil, unexpected(err)
+	}
+	for have := len(arg); have < size+2; have = len(arg) {
+		arg = append(arg, make([]byte, min(have, size+2-have))...)
+		if _, err := io.ReadFull(r, arg[have:]); err != nil {
+			return nil, unexpected(err)
+		}
+	}
+	if string(arg[size:]) != "\r\n" {
+		return nil, fmt.Errorf("%w: a bulk string of another length than told", errProtocol)
+	}
+	return arg[:size:size], nil
+}
+
+// number reads a whole number as the protocol writes it: digits alone.
+func number(text string) (int, error) {
+	if len(text) > 9 {
+		return 0, errors.New("the number is too long")
+	}
+	for _, c := range []byte(text) {
+		if c < '0' || c > '9' {
+			return 0, errors.New("the number has other characters than digits")
+		}
+	}
+	return strconv.Atoi(text)
+}
+
+// decimal reads a number that is written in digits, with a point or without. ParseFloat alone takes
+// infinities, hexadecimal and exponents as well.
+func decimal(text string, most float64) (float64, error) {
+	for _, c := range []byte(text) {
+		if (c < '0' || c > '9') && c != '.' {
+			return 0, errors.New("no plain decimal number")
+		}
+	}
+	v, err := strconv.ParseFloat(text, 64)
+	if err == nil && v > most {
+		err = errors.New("the number is too large")
+	}
+	return v, err
+}
+
 // unexpected keeps an end inside a request apart from one between requests.
 func unexpected(err error) error {
 	if errors.Is(err, io.EOF) {
@@ -160,14 +229,14 @@
 				return q, errors.New("unknown class")
 			}
 		case "d":
-			ms, err := strconv.ParseFloat(value, 64)
-			if err != nil || !(ms >= 0 && ms <= float64(maxLife.Milliseconds())) {
+			ms, err := decimal(value, float64(maxLife.Milliseconds()))
+			if err != nil {
 				return q, errors.New("d is no time in milliseconds")
 			}
 			q.life = time.Duration(ms * float64(time.Millisecond))
 		case "dest":
-			n, err := strconv.Atoi(value)
-			if err != nil || n < 0 {
+			n, err := number(value)
+			if err != nil {
 				return q, errors.New("dest is no number")
 			}
 			q.dest = n
@@ -193,6 +262,58 @@
 	return len(s) > 0 && len(s) <= 256
 }
 
+// session is one client's connection. Only its own goroutine reads and writes; the clients' lock guards place.
+type session struct {
+	net.Conn
+	unsent []byte
+	readAt time.Time // when the last bytes came
+	looks  int
+	used   bool           // it has had an answer
+	place  *queue.Element // among those with no request open
+}
+
+// Read flushes first: the client may be waiting for those answers. A deadline that passed while the process did
+// not run, or that asks the place back, says nothing of bytes that have come meanwhile, so there is a last look:
+// a connection must not end on a whole request.
+func (s *session) Read(p []byte) (int, error) {
+	if err := s.flush(); err != nil {
+		return 0, err
+	}
+	n, err := s.Conn.Read(p)
+	for ; n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && s.looks < maxLooks; s.looks++ {
+		if lerr := s.SetReadDeadline(time.Now().Add(lookTime)); lerr != nil {
+			return 0, lerr
+		}
+		if n, err = s.Conn.Read(p); n == 0 {
+			break
+		}
+	}
+	s.readAt = time.Now()
+	return n, err
+}
+
+func (s *session) flush() error {
+	if len(s.unsent) == 0 {
+		return nil
+	}
+	if err := s.SetWriteDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return err
+	}
+	_, err := s.Write(s.unsent)
+	s.unsent = s.unsent[:0]
+	return err
+}
+
+// say queues an answer.
+func (s *session) say(line string) error {
+	s.unsent = append(s.unsent, line...)
+	s.used = true
+	if len(s.unsent) < maxUnsent {
+		return nil
+	}
+	return s.flush()
+}
+
 // clients serves the node's clients.
 type clients struct {
 	ln      net.Listener
@@ -203,7 +324,8 @@
 	hand    func(request) answer
 
 	mu     sync.Mutex
-	idle   map[net.Conn]bool // open connections; true between requests
+	open   map[*session]bool
+	idle   [2]queue.List // sessions with no request open, oldest first: those never answered, and the others
 	closed bool
 	wg     sync.WaitGroup
 }
@@ -211,18 +333,29 @@
 func newClients(ln net.Listener, most int, classes []string, hand func(request) answer) *clients {
 	return &clients{
 		ln: ln, room: make(chan struct{}, max(most, 1)), stop: make(chan struct{}), served: make(chan struct{}),
-		classes: classes, hand: hand, idle: map[net.Conn]bool{},
+		classes: classes, hand: hand, open: map[*session]bool{},
 	}
 }
 
-// serve accepts connections until the listener is closed. With all places taken the next waits in the backlog.
+// serve accepts connections until the listener is closed. With all places taken, the one that has been idle
+// longest is asked back, and the next connection waits in the backlog until it is.
 func (c *clients) serve(ctx context.Context) {
 	defer close(c.served)
 	for {
-		select {
-		case c.room <- struct{}{}:
-		case <-c.stop:
-			return
+		for taken := false; !taken; {
+			select {
+			case c.room <- struct{}{}:
+				taken = true
+			default:
+				c.evict()
+				select {
+				case c.room <- struct{}{}:
+					taken = true
+				case <-time.After(evictPause):
+				case <-c.stop:
+					return
+				}
+			}
 		}
 		nc, err := c.ln.Accept()
 		if err != nil {
@@ -239,59 +372,97 @@
 	}
 }
 
-// mark notes whether a connection stands between requests, and tells whether it may go on.
-func (c *clients) mark(nc net.Conn, idle bool) bool {
+// evict asks the longest idle session to give its place back. Those that never asked for anything go first.
+func (c *clients) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.idle {
+		if e := c.idle[i].Front(); e != nil {
+			s := e.Value.(*session)
+			c.unplace(s)
+			s.SetReadDeadline(time.Unix(1, 0)) // not closed from here: see Read
+			return
+		}
+	}
+}
+
+// rest puts a session among the idle ones, and tells whether it may go on.
+func (c *clients) rest(s *session) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed && idle {
+	if c.closed || s.SetReadDeadline(time.Now().Add(idleTimeout)) != nil {
 		return false
 	}
-	c.idle[nc] = idle
+	i := 0
+	if s.used {
+		i = 1
+	}
+	s.place, s.looks = c.idle[i].PushBack(s), 0
 	return true
 }
 
+// begin takes a session whose request has begun out of the idle ones.
+func (c *clients) begin(s *session) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unplace(s)
+	s.looks = 0
+	return s.SetReadDeadline(time.Now().Add(requestTimeout)) == nil
+}
+
+func (c *clients) unplace(s *session) {
+	if s.place != nil {
+		for i := range c.idle {
+			c.idle[i].Remove(s.place) // of the list that it is not in, this does nothing
+		}
+		s.place = nil
+	}
+}
+
 func (c *clients) serveConn(nc net.Conn) {
+	s := &session{Conn: nc}
+	c.mu.Lock()
+	c.open[s] = true
+	c.mu.Unlock()
 	defer func() {
 		c.mu.Lock()
-		delete(c.idle, nc)
+		c.unplace(s)
+		delete(c.open, s)
 		c.mu.Unlock()
 		nc.Close()
 	}()
-	r := bufio.NewReaderSize(nc, 4096)
+	r := bufio.NewReaderSize(s, 4096)
 	for {
-		// In this order: close calls idle connections back by their deadline.
-		if nc.SetDeadline(time.Time{}) != nil || (r.Buffered() == 0 && !c.mark(nc, true)) {
+		if r.Buffered() == 0 && !c.rest(s) {
+			s.flush() // the node leaves
 			return
 		}
 		if _, err := r.Peek(1); err != nil {
 			return
 		}
-		came := time.Now()
-		c.mark(nc, false)
-		if nc.SetDeadline(came.Add(requestTimeout)) != nil {
+		came := s.readAt
+		if !c.begin(s) {
 			return
 		}
 		args, err := readCommand(r)
 		var line string
 		switch {
-		case err == nil && len(args) == 0:
-			continue
 		case err == nil:
 			line = c.command(args, came)
 		case errors.Is(err, errTooLarge):
 			line = answer{failed: err.Error()}.line()
-		case errors.Is(err, errProtocol):
-			if _, err := io.WriteString(nc, answer{failed: err.Error()}.line()); err == nil {
-				linger(nc)
+		case errors.Is(err, errProtocol), errors.Is(err, os.ErrDeadlineExceeded):
+			if !errors.Is(err, errProtocol) {
+				err = fmt.Errorf("%w: the request took too long", errProtocol)
+			}
+			if s.say(answer{failed: err.Error()}.line()) == nil && s.flush() == nil {
+				c.linger(s)
 			}
 			return
 		default:
 			return // the client went away inside a request
 		}
-		if nc.SetWriteDeadline(time.Now().Add(requestTimeout)) != nil {
-			return
-		}
-		if _, err := io.WriteString(nc, line); err != nil {
+		if s.say(line) != nil {
 			return
 		}
 	}
@@ -313,11 +484,14 @@
 }
 
 // linger lets the client read the last answer: closing over unread bytes would reset the connection and take
-// the answer with it.
-func linger(nc net.Conn) {
-	if t, ok := nc.(*net.TCPConn); ok && t.CloseWrite() == nil && nc.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		io.Copy(io.Discard, io.LimitReader(nc, maxSkipped)) // whatever comes, the connection ends next
+// the answer with it. Meanwhile its place may be asked back.
+func (c *clients) linger(s *session) {
+	t, ok := s.Conn.(*net.TCPConn)
+	s.used = false // the first to go
+	if !ok || t.CloseWrite() != nil || !c.rest(s) || s.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
 	}
+	io.Copy(io.Discard, io.LimitReader(t, maxSkipped)) // whatever comes, the connection ends next
 }
 
 // close stops accepting, hangs up on clients between requests, and lets the others have their answer first. A
@@ -328,18 +502,17 @@
 	<-c.served
 	c.mu.Lock()
 	c.closed = true
-	for nc, idle := range c.idle {
-		if idle {
-			// Not closed from here: a request that has just been read must have its answer.
-			nc.SetReadDeadline(time.Unix(1, 0))
+	for i := range c.idle {
+		for e := c.idle[i].Front(); e != nil; e = e.Next() {
+			e.Value.(*session).SetReadDeadline(time.Unix(1, 0)) // see Read
 		}
 	}
 	c.mu.Unlock()
 	slow := time.AfterFunc(closeGrace, func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		for nc := range c.idle {
-			nc.Close()
+		for s := range c.open {
+			s.Close()
 		}
 	})
 	defer slow.Stop()
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 
 	"starlingusher/choice"
@@ -42,6 +43,9 @@
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	c.State = state
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return c, fmt.Errorf("configuration %s: discovery: %w", path, err)
+	}
 	if c.Settings, err = wire.Settings(c.RawSettings); err != nil {
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -100,8 +100,13 @@
 func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, tell func(list)) {
 	var pause backoff
 	for ctx.Err() == nil {
+		first := true
 		err := watchOnce(ctx, client, addr, after, func(l list) {
-			after, pause = l.Revision, 0
+			if first {
+				log.Info("watching", "discovery", addr, "after", after, "revision", l.Revision, "complete", l.Complete,
+					"members", len(l.Members))
+			}
+			after, pause, first = l.Revision, 0, false
 			tell(l)
 		})
 		if ctx.Err() == nil {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strconv"
 	"time"
 )
 
@@ -65,6 +66,18 @@
 	after  time.Duration
 }
 
+// name is what the module calls the message. Ids may come again; numbers don't.
+func (p *past) name() string { return strconv.FormatUint(p.seq, 10) }
+
+// seqOf reads a name; no message has number 0.
+func seqOf(name string) uint64 {
+	seq, err := strconv.ParseUint(name, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return seq
+}
+
 // size is about the room that a message takes in the journal.
 func (p *past) size() int64 {
 	return int64(len(p.body)+len(p.id)+len(p.key)) + messageReserve
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,10 +28,11 @@
 	leaveAfter = 2700 * time.Millisecond
 )
 
-// attempt names a call that is out.
+// attempt names a call that is out, by the journal's number of its message: an id may come again while a call
+// under it is still out.
 type attempt struct {
-	id string
-	n  int
+	seq uint64
+	n   int
 }
 
 // outCall is a call that is out.
@@ -47,10 +48,11 @@
 	sender   *choice.Sender
 	journal  *journal
 	pool     *pool
-	client   *http.Client
 	start    time.Time
 	events   chan any
 	notices  chan []notice
+	moves    chan string // discovery's new address
+	over     chan struct{}
 	messages map[string]*past // all in the journal, by id
 	out      map[attempt]outCall
 	eps      map[string]*endpoint
@@ -87,8 +89,8 @@
 	return &Node{
 		cfg: cfg, log: log, journal: j, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(),
 		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}},
-		events: make(chan any, eventQueue), notices: make(chan []notice), messages: map[string]*past{},
+		events: make(chan any, eventQueue), notices: make(chan []notice), moves: make(chan string),
+		over: make(chan struct{}), messages: map[string]*past{},
 		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{}, dests: map[int]bool{},
 	}, nil
 }
@@ -115,15 +117,11 @@
 	// The parts outlive ctx by the time that it takes to leave.
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	defer close(n.over)
 	n.step(life, n.replayed(), nil)
 
 	var parts sync.WaitGroup
-	parts.Go(func() {
-		watch(life, n.log, n.client, n.cfg.Discovery, n.cfg.Known.Revision, func(l list) { n.tell(life, l) })
-	})
-	parts.Go(func() {
-		report(life, n.log, n.client, n.cfg.Discovery, n.notices, func(b []notice) { n.tell(life, settled(b)) })
-	})
+	parts.Go(func() { n.consult(life) })
 	clients := newClients(ln, n.cfg.Limits.Sockets/2, n.cfg.Names.Classes, func(q request) answer { return n.hand(life, q) })
 	parts.Go(func() { clients.serve(life) })
 	gone := make(chan struct{})
@@ -147,10 +145,46 @@
 	n.calls.Wait()
 	n.pool.close()
 	parts.Wait()
-	n.client.CloseIdleConnections()
 	return n.journal.close()
 }
 
+// Move tells a running node that discovery is at another address now. It may be called at any time.
+func (n *Node) Move(addr string) {
+	select {
+	case n.moves <- addr:
+	case <-n.over:
+	}
+}
+
+// consult keeps the watch and the reports at discovery's address, and takes both along when that changes. What
+// a server's revision counts is its own affair, so another one is asked for its whole list. Notices that were
+// not answered go to the new address.
+func (n *Node) consult(ctx context.Context) {
+	addr, after := n.cfg.Discovery, n.cfg.Known.Revision
+	var unanswered []notice
+	for ctx.Err() == nil {
+		here, leave := context.WithCancel(ctx)
+		transport := &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
+		client := &http.Client{Transport: transport}
+		var parts sync.WaitGroup
+		parts.Go(func() { watch(here, n.log, client, addr, after, func(l list) { n.tell(ctx, l) }) })
+		parts.Go(func() {
+			unanswered = report(here, n.log, client, addr, unanswered, n.notices, func(b []notice) { n.tell(ctx, settled(b)) })
+		})
+		select {
+		case to := <-n.moves:
+			n.log.Info("discovery moves", "to", to)
+			if to != addr {
+				addr, after = to, 0
+			}
+		case <-ctx.Done():
+		}
+		leave()
+		parts.Wait()
+		transport.CloseIdleConnections()
+	}
+}
+
 // replayed makes the first events: the list as it was last known, and what the journal says is still owed.
 func (n *Node) replayed() []choice.Event {
 	known := n.cfg.Known
@@ -188,7 +222,7 @@
 // arrived is the module's event of a message. A deadline that has not been through the journal is on the
 // monotonic clock, so that a step of the wall clock does not move it.
 func (n *Node) arrived(p *past, deadline time.Time) choice.Arrived {
-	return choice.Arrived{ID: p.id, Class: p.class, Dest: p.dest, Key: p.key, DropDead: n.at(deadline)}
+	return choice.Arrived{ID: p.name(), Class: p.class, Dest: p.dest, Key: p.key, DropDead: n.at(deadline)}
 }
 
 // tell hands the loop an event.
@@ -207,7 +241,7 @@
 	case r := <-a.reply:
 		return r
 	case <-ctx.Done():
-		return answer{refused: true} // the loop has ended and did not take it on
+		return answer{refused: true, after: n.cfg.Settings.MaxRetryAfter} // the loop has ended and did not take it on
 	}
 }
 
@@ -256,10 +290,19 @@
 	return wait
 }
 
+// newcomers are the messages of a batch, with all who handed them in: one id may stand there more than once.
+type newcomers map[uint64][]arrival
+
+func (w newcomers) reply(seq uint64, a answer) {
+	for _, c := range w[seq] {
+		c.reply <- a
+	}
+}
+
 // take turns a batch into the module's events, and steps.
 func (n *Node) take(ctx context.Context, batch []any) {
 	var events []choice.Event
-	fresh := map[string]arrival{}
+	fresh := newcomers{}
 	for _, e := range batch {
 		switch e := e.(type) {
 		case list:
@@ -273,12 +316,9 @@
 		case choice.Leaving:
 			events = append(events, e)
 		case arrival:
-			if refusal, ok := n.accept(e); !ok {
-				e.reply <- refusal
-				continue
+			if p := n.accept(e, fresh); p != nil {
+				events = append(events, n.arrived(p, e.came.Add(e.life)))
 			}
-			fresh[e.id] = e
-			events = append(events, n.arrived(n.messages[e.id], e.came.Add(e.life)))
 		}
 	}
 	// What the module is about to be told of, and the clients with it, rests on these records.
@@ -288,9 +328,9 @@
 			_, isNew := e.(choice.Arrived)
 			return isNew
 		})
-		for id, a := range fresh {
-			n.forget(n.messages[id])
-			a.reply <- answer{refused: true}
+		for seq, all := range fresh {
+			n.forget(n.journal.live[seq])
+			fresh.reply(seq, n.turnAway(all[0]))
 		}
 		fresh = nil
 	}
@@ -301,24 +341,38 @@
 	n.step(ctx, events, fresh)
 }
 
-// accept journals a new message, or tells what to answer in place of asking the module.
-func (n *Node) accept(a arrival) (answer, bool) {
+// accept journals a new message and returns it; one that is not new, or can't be taken on, gets its answer.
+func (n *Node) accept(a arrival, fresh newcomers) *past {
+	p := n.messages[a.id]
 	switch {
-	case n.messages[a.id] != nil:
-		return answer{}, false // taken on before: handed in again it has no second effect
+	case p != nil && fresh[p.seq] != nil: // its fate is not known yet
+		fresh[p.seq] = append(fresh[p.seq], a)
+		return nil
+	case p != nil: // taken on before: handed in again it has no second effect
+		n.acts = append(n.acts, func() { a.reply <- answer{} })
+		return nil
 	case !n.dests[a.dest]:
-		return answer{failed: "unknown destination"}, false
+		a.reply <- answer{failed: "unknown destination"}
+		return nil
 	case n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
-		return answer{refused: true}, false
+		a.reply <- n.turnAway(a)
+		return nil
 	}
-	p := &past{id: a.id, key: a.key, class: a.class, dest: a.dest, body: a.body, deadline: a.came.Add(a.life)}
-	p, err := n.journal.accept(p)
+	p, err := n.journal.accept(
+		&past{id: a.id, key: a.key, class: a.class, dest: a.dest, body: a.body, deadline: a.came.Add(a.life)})
 	if err != nil {
-		return answer{refused: true}, false
+		a.reply <- n.turnAway(a)
+		return nil
 	}
 	n.messages[p.id] = p
 	n.held++
-	return answer{}, true
+	fresh[p.seq] = []arrival{a}
+	return p
+}
+
+// turnAway refuses a message for want of room, before the module has heard of it.
+func (n *Node) turnAway(a arrival) answer {
+	return answer{refused: true, after: n.sender.StayAway(a.dest)}
 }
 
 // forget ends all that the node has of a message.
@@ -385,9 +439,9 @@
 	switch e.outcome {
 	case choice.Pass:
 	case choice.NoRoom, choice.NoRoute, choice.Stale:
-		n.journal.add(outcomeRecord(recNotRun, m.seq, e.n))
+		n.journal.add(outcomeRecord(recNotRun, e.seq, e.n))
 	default:
-		n.journal.add(outcomeRecord(recFailed, m.seq, e.n))
+		n.journal.add(outcomeRecord(recFailed, e.seq, e.n))
 	}
 	if e.closed && m.ended == nil {
 		n.forget(m)
@@ -397,14 +451,14 @@
 		e.endpoint.wait.Store(max(until, e.endpoint.wait.Load()))
 	}
 	return choice.Ended{
-		ID: e.id, Attempt: e.n, Endpoint: e.endpoint.id, Outcome: e.outcome, Took: e.took, Closed: e.closed,
+		ID: m.name(), Attempt: e.n, Endpoint: e.endpoint.id, Outcome: e.outcome, Took: e.took, Closed: e.closed,
 		Wait: e.wait, NoSlot: e.noSlot, Report: e.report,
 	}
 }
 
 // step lets the module decide and carries out what it says, in order, once the records are written that guard
 // it. fresh are the messages whose clients still wait to hear whether they are taken on.
-func (n *Node) step(ctx context.Context, events []choice.Event, fresh map[string]arrival) {
+func (n *Node) step(ctx context.Context, events []choice.Event, fresh newcomers) {
 	for _, a := range n.sender.Step(n.now(), events) {
 		switch a := a.(type) {
 		case choice.Send:
@@ -415,7 +469,7 @@
 			n.end(a.ID, ending{failed: true}, fresh)
 		case choice.Cancel:
 			n.acts = append(n.acts, func() {
-				if c, ok := n.out[attempt{a.ID, a.Attempt}]; ok {
+				if c, ok := n.out[attempt{seqOf(a.ID), a.Attempt}]; ok {
 					c.cancel()
 				}
 			})
@@ -429,8 +483,8 @@
 			n.log.Info(a.Text)
 		}
 	}
-	for _, a := range fresh { // not refused, so taken on
-		n.acts = append(n.acts, func() { a.reply <- answer{} })
+	for seq := range fresh { // not refused, so taken on
+		n.acts = append(n.acts, func() { fresh.reply(seq, answer{}) })
 	}
 	if err := n.journal.flush(); err != nil {
 		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
@@ -443,19 +497,19 @@
 }
 
 // end gives a message its final answer: to its client if that still waits, and by a notice otherwise.
-func (n *Node) end(id string, e ending, fresh map[string]arrival) {
-	p := n.messages[id]
+func (n *Node) end(id string, e ending, fresh newcomers) {
+	p := n.journal.live[seqOf(id)]
 	if p == nil || p.ended != nil {
 		return
 	}
-	if a, ok := fresh[id]; ok {
-		delete(fresh, id)
+	if all, ok := fresh[p.seq]; ok {
+		delete(fresh, p.seq)
 		n.forget(p)
 		reply := answer{refused: true, after: e.after}
 		if e.failed {
 			reply = answer{failed: "the message failed"}
 		}
-		n.acts = append(n.acts, func() { a.reply <- reply })
+		n.acts = append(n.acts, func() { newcomers{p.seq: all}.reply(p.seq, reply) })
 		return
 	}
 	n.held--
@@ -466,13 +520,13 @@
 
 // send journals an attempt, and makes the call once that is written.
 func (n *Node) send(ctx context.Context, a choice.Send) {
-	p, e := n.messages[a.ID], n.eps[a.Endpoint]
+	p, e := n.journal.live[seqOf(a.ID)], n.eps[a.Endpoint]
 	if e == nil {
 		// The list has just lost it; a call there is Stale, and so proven not to have run.
 		e = &endpoint{id: a.Endpoint, wait: new(atomic.Int64)}
 		e.shut.Store(true)
 	}
-	name, now := attempt{a.ID, len(p.sends)}, time.Now()
+	name, now := attempt{p.seq, len(p.sends)}, time.Now()
 	n.journal.add(attemptRecord(p.seq, now, e.zone))
 	c := call{id: p.id, key: p.key, body: p.body, endpoint: e, notPast: n.wall(a.NotPast)}
 	n.acts = append(n.acts, func() {
@@ -482,8 +536,12 @@
 			defer cancel()
 			began := time.Now()
 			res := n.pool.do(ctx, c)
+			took := time.Since(began)
+			if !res.heard.IsZero() {
+				took = res.heard.Sub(began) // an answer may be spoilt from there on, and take its time
+			}
 			// Not by tell: the loop takes every call's end, also while the node leaves.
-			n.events <- called{name, e, res, time.Since(began)}
+			n.events <- called{name, e, res, took}
 		})
 	})
 }
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -32,36 +32,34 @@
 	return n
 }
 
-// report posts each batch of notices until it is answered 204, and then says so. A notice may be posted twice:
-// one for a message that is over does no harm.
-func report(ctx context.Context, log *slog.Logger, client *http.Client, addr string, in <-chan []notice, settled func([]notice)) {
-	for {
-		var batch []notice
-		select {
-		case <-ctx.Done():
-			return
-		case batch = <-in:
+// report posts each batch of notices until it is answered 204, and then says so; owed comes first. It returns
+// what was not answered when ctx ended. A notice may be posted twice: one for a message that is over does no harm.
+func report(
+	ctx context.Context, log *slog.Logger, client *http.Client, addr string, owed []notice, in <-chan []notice,
+	settled func([]notice),
+) []notice {
+	var pause backoff
+	for ctx.Err() == nil {
+		if len(owed) == 0 {
+			select {
+			case <-ctx.Done():
+			case owed = <-in:
+			}
+			continue
 		}
-		for len(batch) > 0 {
-			some := batch[:min(len(batch), maxNotices)]
-			var pause backoff
-			for {
-				err := post(ctx, client, addr, some)
-				if err == nil {
-					break
-				}
-				if ctx.Err() != nil {
-					return
-				}
+		some := owed[:min(len(owed), maxNotices)]
+		if err := post(ctx, client, addr, some); err != nil {
+			if ctx.Err() == nil {
 				log.Warn("notices not taken", "count", len(some), "err", err)
-				if !sleep(ctx, pause.next()) {
-					return
-				}
+				sleep(ctx, pause.next())
 			}
-			settled(some)
-			batch = batch[len(some):]
+			continue
 		}
+		pause = 0
+		settled(some)
+		owed = owed[len(some):]
 	}
+	return owed
 }
 
 func post(ctx context.Context, client *http.Client, addr string, batch []notice) error {
