--- a/choice/choice.go
+++ b/choice/choice.go
@@ -67,6 +67,15 @@
 	sweepEvery    = 10 * time.Millisecond  // wakes are this far apart at least,
 	pollEvery     = 30 * time.Millisecond  // and this far while something waits
 	endMargin     = 15 * time.Millisecond  // final answers are given this long before the deadline
+
+	// Leaving. What is cut off may have run: one that may be repeated goes out with room for so many usual
+	// times, one that may not for more. The rest is held for the next life.
+	leaveRoom, leaveRoomUnsafe = 2, 6
+	leaveLeast                 = 300 * time.Millisecond
+	leaveLeastUnsafe           = time.Second
+
+	// A destination that the list no longer has any endpoint of is forgotten after this time.
+	forgetAfter = 2 * time.Minute
 )
 
 // New returns the decision maker of a delivery node that has just started.
@@ -75,6 +84,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
 		dests: map[int]*destination{}, eps: map[string]*endpoint{}, msgs: map[string]*message{},
 		lines: map[string][]*message{}, rests: map[string]time.Duration{}, sent: map[attempt]sending{},
+		parted:  map[string]time.Duration{},
 		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{},
 	}
 	s.cfg.Fleet = max(cfg.Fleet, 1)
@@ -110,7 +120,7 @@
 		case Rang:
 			s.wakeAt = 0 // a rounded clock may ring a little before the time
 		case Leaving:
-			s.leaving = true
+			s.leaveBy = e.By
 		}
 	}
 	if s.askAt > 0 && now >= s.askAt {
@@ -118,10 +128,8 @@
 		s.do(Watch{})
 	}
 	s.expire()
-	if !s.leaving { // what is held goes on in the next life; what may have run by then might be lost
-		s.release()
-		s.preempt()
-	}
+	s.release()
+	s.preempt()
 	s.arm()
 	return s.actions
 }
@@ -156,22 +164,25 @@
 	}
 	s.asking = 0
 	if l.Whole {
-		for _, d := range s.order {
-			for _, e := range d.endpoints {
-				e.ready = false
-			}
-		}
+		s.keepOnly(l.Entries)
 	}
 	for _, entry := range l.Entries {
-		d := s.destination(entry.Dest)
 		e := s.eps[entry.Endpoint]
-		if e == nil || e.dest != d {
+		if e != nil && (entry.Phase == Gone || e.dest.id != entry.Dest) {
+			s.drop(e)
+		}
+		if entry.Phase == Gone {
+			continue
+		}
+		if e = s.eps[entry.Endpoint]; e == nil {
+			d := s.destination(entry.Dest)
 			e = &endpoint{id: entry.Endpoint, zone: entry.Zone, dest: d}
 			s.eps[entry.Endpoint] = e
 			d.endpoints = append(d.endpoints, e)
 			d.kind = entry.Kind
 			if e.route = d.shared; s.apart(d) {
 				e.route = newRoute()
+				e.route.waitUntil = s.parted[e.id] // the only thing that outlasts a route's leaving
 			}
 		}
 		e.ready = entry.Phase == Ready
@@ -179,6 +190,7 @@
 			e.route.weight = entry.Weight
 		}
 	}
+	s.forget()
 }
 
 func newRoute() *route { return &route{part: 1, tokens: 1} }
@@ -327,9 +339,12 @@
 	return after
 }
 
-// StayAway is how long a client should stay away whose message is turned away before the gate, for want of room.
+// StayAway is how long a client should stay away whose message is turned away before the gate, for no room.
 func (s *Sender) StayAway(dest int) time.Duration { return s.retryAfter(s.destination(dest)) }
 
+// Knows tells that a destination is on the list, or was not long ago.
+func (s *Sender) Knows(dest int) bool { return s.dests[dest] != nil }
+
 // finish ends a message; a is nil when it is over without our doing.
 func (s *Sender) finish(m *message, a Action) {
 	if m.over {
@@ -338,6 +353,7 @@
 	m.over = true
 	m.dest.dequeue(m)
 	delete(s.msgs, m.id)
+	s.trimLine(m.key)
 	if a != nil {
 		s.do(a)
 	}
@@ -392,15 +408,17 @@
 	}
 	s.report(c.ep.route, e.Report)
 	s.judge(c, e)
+	s.inherit(c.ep)
 	m.out--
 	ran := e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == Cut || e.Outcome == Undone
 	if ran && m.class.Effect != Safe && (!m.touched || c.sentAt < m.mayRun) {
 		m.touched, m.mayRun, m.zone = true, c.sentAt, c.ep.zone
 	}
 	if ran && e.Outcome != Fault && m.key != "" {
-		s.rests[m.key] = max(s.rests[m.key], s.now+s.cfg.OrderSettle)
+		s.restKey(m.key)
 	}
 	if m.over {
+		s.trimLine(m.key)
 		return // ended meanwhile; its turn and its key had to hear of the outcome all the same
 	}
 	s.sample(m, c, e.Outcome)
@@ -454,10 +472,12 @@
 	return true
 }
 
-// report takes what an endpoint tells of its limit; odd values are skipped.
+// report takes what an endpoint tells of its limit; odd values are skipped. The room left changes by the
+// moment: without a report there is none to count on.
 func (s *Sender) report(r *route, rep Report) {
+	r.left = 0
 	if rep.HasLimit && rep.Limit >= 0 && !math.IsInf(rep.Limit, 0) {
-		r.reported, r.limit, r.left = true, rep.Limit, 0
+		r.reported, r.limit = true, rep.Limit
 		if rep.HasLeft && rep.Left > 0 {
 			r.left = min(rep.Left, 1)
 		}
@@ -867,6 +887,9 @@
 	if s.cfg.Slots > 0 && s.busy >= s.cfg.Slots || s.now >= m.dropDead-endMargin-2*s.cfg.Tick {
 		return false
 	}
+	if s.leaveBy > 0 && s.now+s.leaveSpan(m, e) > s.leaveBy {
+		return false
+	}
 	switch m.class.Effect {
 	case Unsafe:
 		// On a sick route an unsafe message risks an unsure end, unless failures there prove that
@@ -891,6 +914,14 @@
 	return true
 }
 
+// leaveSpan is how long before the process ends a message may still go out.
+func (s *Sender) leaveSpan(m *message, e *endpoint) time.Duration {
+	if m.class.Effect == Unsafe {
+		return max(span(leaveRoomUnsafe*e.usual), leaveLeastUnsafe)
+	}
+	return max(span(leaveRoom*e.usual), leaveLeast)
+}
+
 // send sends a message and, where the kind allows, more of the destination's waiting ones in the same call.
 func (s *Sender) send(d *destination, m *message, e *endpoint) {
 	r := e.route
--- a/choice/resume_test.go
+++ b/choice/resume_test.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -83,17 +84,34 @@
 	}
 }
 
-// Leaving stops new sends and nothing else: the gate and the ends go on.
+// Leaving stops the sends that may be cut off, sooner where they could not be repeated, and nothing else: the gate
+// and the ends go on.
 func TestLeaving(t *testing.T) {
-	s := New(settings(), 1)
-	s.Step(time.Hour, []Event{one(), Leaving{}})
-	for _, a := range s.Step(time.Hour+ms, []Event{Arrived{ID: "m", DropDead: time.Hour + time.Second}}) {
-		if _, ok := a.(Send); ok {
-			t.Error("sent while leaving")
+	cfg := settings()
+	s := New(cfg, 1)
+	end := time.Hour + 2*time.Second
+	s.Step(time.Hour, []Event{one(), Leaving{By: end}})
+	unsafe := slices.IndexFunc(cfg.Classes, func(c Class) bool { return c.Effect == Unsafe })
+	safe := slices.IndexFunc(cfg.Classes, func(c Class) bool { return c.Effect == Safe })
+	for _, c := range []struct {
+		class int
+		left  time.Duration
+		sent  bool
+	}{{unsafe, 1500 * ms, true}, {unsafe, 900 * ms, false}, {safe, 800 * ms, true}, {safe, 200 * ms, false}} {
+		id, sent := c.left.String(), false
+		for _, a := range s.Step(end-c.left, []Event{Arrived{ID: id, Class: c.class, DropDead: end + time.Minute}}) {
+			if _, ok := a.(Send); ok {
+				sent = true
+				s.Step(end-c.left, []Event{Ended{ID: id, Endpoint: "a", Took: ms}})
+			}
+		}
+		if sent != c.sent {
+			t.Errorf("class %d with %v left: sent %v", c.class, c.left, sent)
 		}
 	}
+	s.Step(end-100*ms, []Event{Arrived{ID: "m", Class: safe, DropDead: end + time.Second}})
 	ended := false
-	for _, a := range s.Step(time.Hour+time.Second, []Event{Rang{}}) {
+	for _, a := range s.Step(end+time.Second, []Event{Rang{}}) {
 		if p, ok := a.(PushBack); ok && p.ID == "m" {
 			ended = true
 		}
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,7 +1,9 @@
 package choice
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -17,6 +19,8 @@
 	open    []*message // in order of arrival; ended ones are swept out
 	lines   map[string][]*message
 	rests   map[string]time.Duration // keys at rest until then
+	resting []keyRest                // the same in the order in which they end
+	parted  map[string]time.Duration // waits told by routes apart that have left the list
 	crowded map[int]time.Duration    // connection tables of a kind seem full until then
 	tenants []tenant
 	busy    int                 // calls out
@@ -25,8 +29,8 @@
 	wakeAt  time.Duration       // the earliest wake asked for
 	asking  time.Duration       // pause before the list is asked for again
 	askAt   time.Duration
-	leaving bool
-	failing float64 // smoothed share of failures at routes not known to be struck
+	leaveBy time.Duration // when the process ends; 0 while it stays
+	failing float64       // smoothed share of failures at routes not known to be struck
 	actions []Action
 }
 
@@ -35,8 +39,16 @@
 	at     time.Duration
 }
 
+// keyRest is a key's rest as it was when it began; a later one may have prolonged it.
+type keyRest struct {
+	key   string
+	until time.Duration
+}
+
 // destination is one partner: its gate, endpoints and waiting messages.
 type destination struct {
+	id        int
+	emptied   time.Duration // when its last endpoint left the list
 	gate      gate
 	kind      int
 	shared    *route // of all endpoints, unless they are routes apart
@@ -152,13 +164,79 @@
 func (s *Sender) destination(id int) *destination {
 	d := s.dests[id]
 	if d == nil {
-		d = &destination{shared: newRoute()}
+		d = &destination{id: id, emptied: s.now, shared: newRoute()}
 		s.dests[id] = d
 		s.order = append(s.order, d)
 	}
 	return d
 }
 
+// keepOnly drops the endpoints that a whole list does not have.
+func (s *Sender) keepOnly(entries []Entry) {
+	named := make(map[string]bool, len(entries))
+	for _, entry := range entries {
+		named[entry.Endpoint] = true
+	}
+	for _, d := range s.order {
+		for _, e := range slices.Clone(d.endpoints) {
+			if !named[e.id] {
+				s.drop(e)
+			}
+		}
+	}
+}
+
+// drop forgets an endpoint that has left the list. Calls out there keep it until they end. If its id comes back
+// it starts afresh, but for a wait that a route apart has told of.
+func (s *Sender) drop(e *endpoint) {
+	e.ready = false
+	delete(s.eps, e.id)
+	e.dest.endpoints = slices.DeleteFunc(e.dest.endpoints, func(o *endpoint) bool { return o == e })
+	e.dest.emptied = s.now
+	s.inherit(e)
+}
+
+// inherit hands on a wait that was told after its endpoint had left the list: it binds whoever has the id.
+func (s *Sender) inherit(e *endpoint) {
+	heir := s.eps[e.id]
+	if heir == e || e.route == e.dest.shared || s.now >= e.route.waitUntil {
+		return
+	}
+	if heir != nil {
+		heir.route.waitUntil = max(heir.route.waitUntil, e.route.waitUntil)
+	} else {
+		s.parted[e.id] = e.route.waitUntil
+	}
+}
+
+// forget lets go of destinations that have had no endpoint for long and nothing under way, and of waits that are
+// over.
+func (s *Sender) forget() {
+	s.order = slices.DeleteFunc(s.order, func(d *destination) bool {
+		if len(d.endpoints) > 0 || d.active || s.now-d.emptied < forgetAfter || s.now < d.shared.waitUntil {
+			return false
+		}
+		delete(s.dests, d.id)
+		return true
+	})
+	maps.DeleteFunc(s.parted, func(_ string, until time.Duration) bool { return s.now >= until })
+}
+
+// restKey lets a key rest from now on, and forgets the rests that are over.
+func (s *Sender) restKey(key string) {
+	until := s.now + s.cfg.OrderSettle
+	s.rests[key] = until
+	s.resting = append(s.resting, keyRest{key, until})
+	for s.resting[0].until <= s.now {
+		if s.rests[s.resting[0].key] <= s.now {
+			delete(s.rests, s.resting[0].key)
+		}
+		if s.resting = s.resting[1:]; len(s.resting) == 0 {
+			return
+		}
+	}
+}
+
 // apart tells that the endpoints are routes of their own.
 func (s *Sender) apart(d *destination) bool {
 	return d.kind >= 0 && d.kind < len(s.cfg.Kinds) && s.cfg.Kinds[d.kind].Apart
@@ -221,6 +299,9 @@
 // trimLine drops ended messages from the head of a key's line; one with an attempt out still holds its turn.
 func (s *Sender) trimLine(key string) {
 	line := s.lines[key]
+	if len(line) == 0 {
+		return
+	}
 	for len(line) > 0 && line[0].over && line[0].out == 0 {
 		line = line[1:]
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -163,8 +163,8 @@
 // Rang says that a Wake has fallen due.
 type Rang struct{ Tag string }
 
-// Leaving says that the process is about to end: what is out may finish, and nothing new should be sent.
-type Leaving struct{}
+// Leaving says that the process ends at By: what is out then is cut off.
+type Leaving struct{ By time.Duration }
 
 func (Leaving) event() {}
 func (Listed) event()  {}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -35,7 +35,7 @@
 	// 3 s of connecting; these two together keep that. Others give up on an answer after 0.4 s.
 	idleTimeout    = 2 * time.Second
 	requestTimeout = 800 * time.Millisecond // from a request's first byte to its last, and to write an answer
-	closeGrace     = 500 * time.Millisecond // for requests that are half read when the node leaves
+	closeGrace     = 250 * time.Millisecond // for requests that are half read when the node leaves
 	lingerTimeout  = 300 * time.Millisecond // in which a client may read why it is being hung up on
 	lookTime       = time.Millisecond
 	maxLooks       = 64                    // reads past the deadline, each of what had come by then
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -322,7 +322,7 @@
 				t.Fatal("an empty command was handed on")
 			}
 			for i, a := range args {
-				if len(a) > maxBody || (i != bodyArg && len(a) > maxWord && text[0] == '*') {
+				if len(a) > maxBody || (i != bodyArg && len(a) > maxWord) {
 					t.Fatalf("word %d holds %d bytes", i, len(a))
 				}
 			}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -30,7 +30,7 @@
 	journalName    = "journal"
 	recordHead     = 8
 	maxRecord      = maxBody + 4*maxWord + 64
-	messageReserve = 1024      // room for the small records that will follow an accepted message
+	messageReserve = 700       // room for the small records that will follow: 12 attempts at 36 to 45 bytes, and the end
 	minCompact     = 256 << 10 // a smaller file is not worth compacting
 	defaultDiskMB  = 3
 	compactPause   = 100 * time.Millisecond // after a failed compaction
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -208,3 +208,19 @@
 	eventually(t, "the journal is written again", func() bool { return j.flush() == nil })
 	sameLive(t, openTest(t, dir, 3).live, want)
 }
+
+// What is set aside for a message must hold all that may follow it, or its end could find the disk full.
+func TestReserveHoldsAllThatFollows(t *testing.T) {
+	const attempts, seq = 12, 1 << 40
+	var all []byte
+	for i := range attempts {
+		all = appendRecord(all, attemptRecord(seq, time.Now(), -1)) // of a zone that has no number
+		all = appendRecord(all, outcomeRecord(recFailed, seq, i))
+	}
+	all = appendRecord(all, endedRecord(seq, ending{after: maxLife}))
+	all = appendRecord(all, record(recOver, seq))
+	accepted := appendRecord(nil, acceptedRecord(&past{seq: seq, deadline: time.Now(), class: 9, dest: 1e6}))
+	if got := len(all) + len(accepted); got > messageReserve {
+		t.Errorf("%d bytes, %d are set aside", got, messageReserve)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,11 +21,10 @@
 	epoch      = 48 * time.Hour
 	maxBatch   = 256 // events in one Step
 	eventQueue = 1024
-	// After SIGTERM clients go on coming for 0.4 s, and SIGKILL comes after 3.7 s. Until holdAfter all goes on
-	// as ever; then the module is told to send nothing new, and what is out has until leaveAfter to end. All the
-	// while messages are taken on: the journal has them for the next start.
-	holdAfter  = 1200 * time.Millisecond
-	leaveAfter = 2700 * time.Millisecond
+	// After SIGTERM clients go on coming for 0.4 s, and SIGKILL comes after 3.7 s. The module is told at once when
+	// the node will leave, and sends what can end before that. All the while messages are taken on: the journal has
+	// them for the next start.
+	leaveAfter = 3200 * time.Millisecond
 )
 
 // attempt names a call that is out, by the journal's number of its message: an id may come again while a call
@@ -58,7 +57,6 @@
 	eps      map[string]*endpoint
 	waits    map[int]*atomic.Int64 // of destinations whose endpoints share them
 	owed     []notice              // not yet handed to the reporter
-	dests    map[int]bool          // all that a list has ever named
 	held     int                   // messages without their final answer
 	acts     []func()              // what the records that are not yet written guard, in order
 	wakeAt   time.Duration         // of the module; 0 none
@@ -91,7 +89,7 @@
 		pool:   newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
 		events: make(chan any, eventQueue), notices: make(chan []notice), moves: make(chan string),
 		over: make(chan struct{}), messages: map[string]*past{},
-		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{}, dests: map[int]bool{},
+		out: map[attempt]outCall{}, eps: map[string]*endpoint{}, waits: map[int]*atomic.Int64{},
 	}, nil
 }
 
@@ -122,15 +120,16 @@
 
 	var parts sync.WaitGroup
 	parts.Go(func() { n.consult(life) })
+	n.log.Info("serving", "sockets", n.cfg.Limits.Sockets, "memory_mb", n.cfg.Limits.MemoryMB, "disk_mb", n.cfg.Limits.DiskMB,
+		"cores", n.cfg.Limits.Cores, "slots", n.cfg.Settings.Slots, "max_open", n.cfg.Settings.MaxOpen)
 	clients := newClients(ln, n.cfg.Limits.Sockets/2, n.cfg.Names.Classes, func(q request) answer { return n.hand(life, q) })
 	parts.Go(func() { clients.serve(life) })
 	gone := make(chan struct{})
 	parts.Go(func() {
 		defer close(gone)
 		<-ctx.Done()
-		sleep(life, holdAfter)
-		n.tell(life, choice.Leaving{})
-		sleep(life, leaveAfter-holdAfter)
+		n.tell(life, choice.Leaving{By: n.now() + leaveAfter})
+		sleep(life, leaveAfter)
 		clients.close() // those inside a request get their answers from the loop, which still runs
 	})
 	n.loop(life, gone)
@@ -171,13 +170,16 @@
 		parts.Go(func() {
 			unanswered = report(here, n.log, client, addr, unanswered, n.notices, func(b []notice) { n.tell(ctx, settled(b)) })
 		})
-		select {
-		case to := <-n.moves:
-			n.log.Info("discovery moves", "to", to)
-			if to != addr {
-				addr, after = to, 0
+		for stay := true; stay; { // being told the same address again changes nothing
+			select {
+			case to := <-n.moves:
+				if to != addr {
+					n.log.Info("discovery moves", "to", to)
+					addr, after, stay = to, 0, false
+				}
+			case <-ctx.Done():
+				stay = false
 			}
-		case <-ctx.Done():
 		}
 		leave()
 		parts.Wait()
@@ -351,7 +353,7 @@
 	case p != nil: // taken on before: handed in again it has no second effect
 		n.acts = append(n.acts, func() { a.reply <- answer{} })
 		return nil
-	case !n.dests[a.dest]:
+	case !n.sender.Knows(a.dest):
 		a.reply <- answer{failed: "unknown destination"}
 		return nil
 	case n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
@@ -389,12 +391,12 @@
 
 // listed brings the endpoints up to date. Calls that have not written their first byte hear of it by shut.
 func (n *Node) listed(l list) choice.Listed {
+	maps.DeleteFunc(n.waits, func(dest int, _ *atomic.Int64) bool { return !n.sender.Knows(dest) })
 	l.Members = slices.DeleteFunc(l.Members, func(m member) bool { return m.ID == "" })
 	entries := l.entries(n.cfg.Names)
 	named := map[string]bool{}
 	for i, m := range l.Members {
 		named[m.ID] = true
-		n.dests[m.Cell] = true
 		e := n.eps[m.ID]
 		if entries[i].Phase != choice.Ready {
 			n.shut(e)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"starlingusher/choice"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -589,3 +591,133 @@
 		t.Errorf("got %v", seen)
 	}
 }
+
+// bareNode is a node of which the test itself is the loop.
+func bareNode(t *testing.T, known ...string) *Node {
+	t.Helper()
+	cfg, err := LoadConfig(writeConfig(t, "127.0.0.1:0", "127.0.0.1:9", known...), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.step(t.Context(), n.replayed(), nil)
+	return n
+}
+
+func handIn(id string, life time.Duration) arrival {
+	return arrival{request{id: id, class: 0, dest: 7, life: life, came: time.Now()}, make(chan answer, 1)}
+}
+
+// An id handed in twice at once must not be taken on for the one and refused for the other, nor before it is written.
+func TestOneIDTwiceInABatchHasOneFate(t *testing.T) {
+	for name, c := range map[string]struct {
+		life time.Duration
+		down bool
+		want answer
+	}{
+		"taken on":            {50 * time.Second, false, answer{}},
+		"refused":             {0, false, answer{refused: true, after: 3 * time.Second}}, // by the module, out of time
+		"the journal is down": {50 * time.Second, true, answer{refused: true, after: 3 * time.Second}},
+	} {
+		n := bareNode(t, held())
+		if c.down {
+			n.journal.f.Close()
+		}
+		all := []arrival{handIn("a", c.life), handIn("a", c.life), handIn("a", c.life)}
+		n.take(t.Context(), []any{all[0], all[1], all[2]})
+		for _, a := range all {
+			select {
+			case got := <-a.reply:
+				if got != c.want {
+					t.Errorf("%s: got %+v", name, got)
+				}
+			default:
+				t.Errorf("%s: no answer", name)
+			}
+		}
+		if taken := len(n.messages) == 1; taken != (c.want == answer{}) || n.held != len(n.messages) {
+			t.Errorf("%s: %d messages, %d held", name, len(n.messages), n.held)
+		}
+	}
+}
+
+// An id may come again while a call under it is still out. The two must not be taken for one another.
+func TestAnIDUsedAgainWhileItsCallIsOut(t *testing.T) {
+	p := newPartner(t, silent)
+	n := bareNode(t, serving("e", p.addr(), 7, "SERVING"))
+	n.take(t.Context(), []any{handIn("a", 50*time.Second)})
+	p.next(t)
+	n.step(t.Context(), []choice.Event{choice.Dropped{ID: n.messages["a"].name()}}, nil)
+	n.forget(n.messages["a"])
+	n.take(t.Context(), []any{handIn("a", 50*time.Second)})
+	p.next(t)
+	if len(n.out) != 2 {
+		t.Fatalf("%d calls out", len(n.out))
+	}
+	for _, c := range n.out {
+		c.cancel()
+	}
+	for range 2 {
+		n.take(t.Context(), []any{<-n.events})
+	}
+	if n.messages["a"] == nil || n.held != 1 {
+		t.Error("the first one's call has ended the second message")
+	}
+	for a, c := range n.out { // a second attempt of the second message, by then
+		if a.seq != n.messages["a"].seq {
+			t.Errorf("a call of message %d is out", a.seq)
+		}
+		c.cancel()
+	}
+	n.calls.Wait()
+}
+
+// -BUSY tells when to come back, also where the module is not asked.
+func TestTurnedAwayWithATime(t *testing.T) {
+	n := bareNode(t, held())
+	for i := range 8 {
+		a := handIn(itoa(i), 50*time.Second)
+		n.take(t.Context(), []any{a})
+		if got := <-a.reply; got.refused && got.after <= 0 {
+			t.Errorf("got %+v", got)
+		} else if i == 7 && !got.refused {
+			t.Errorf("there is room for %d", i)
+		}
+	}
+}
+
+// Endpoints, destinations and ids come and go; what the node keeps of them must not grow.
+func TestNodeForgetsWhatHasGone(t *testing.T) {
+	p := newPartner(t, says(delivered))
+	n := bareNode(t, held())
+	for i := range 2000 {
+		members := []member{{ID: "e" + itoa(i), Addr: p.addr(), Cell: i, Phase: "SERVING"}, {ID: "e" + itoa(i-1), Cell: i - 1, Phase: "DELETED"}}
+		a := handIn("m"+itoa(i), 50*time.Second)
+		a.dest = i
+		n.take(t.Context(), []any{list{Revision: int64(i), Members: members}})
+		n.take(t.Context(), []any{a})
+		for len(n.out) > 0 {
+			n.take(t.Context(), []any{<-n.events})
+			p.next(t)
+		}
+	}
+	for what, size := range map[string]int{
+		"endpoints": len(n.eps), "messages": len(n.messages), "live": len(n.journal.live), "held": n.held, "kept": n.pool.size,
+	} {
+		if size > 2 {
+			t.Errorf("%s: %d", what, size)
+		}
+	}
+	n.start = n.start.Add(-time.Hour) // all windows pass
+	for range 2 {
+		n.take(t.Context(), []any{list{Complete: true, Members: []member{{ID: "last", Addr: p.addr(), Cell: 1e6, Phase: "SERVING"}}}})
+	}
+	if len(n.waits) > 2 || n.sender.Knows(3) {
+		t.Errorf("%d waits", len(n.waits))
+	}
+	n.pool.close()
+	n.calls.Wait()
+}
