--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,6 +42,7 @@
 
 	// Connections.
 	crowdedSpan = 30 * time.Second // idle connections of a kind are given back so long after a failed connect
+	wornSpan    = 10 * time.Second // kept connections are not trusted so long after one broke under a call
 
 	// Slots.
 	slowFactor = 5                      // a call older than so many usual times makes its destination slow
@@ -406,6 +407,11 @@
 	if c.left--; c.left == 0 {
 		s.hangEnd(c)
 	}
+	// A kept connection that breaks under a call tells of the connection, not of its destination.
+	worn := e.Kept && e.Outcome == Cut
+	if worn {
+		s.wornTil = s.now + wornSpan
+	}
 	s.report(c.ep.route, e.Report)
 	s.judge(c, e)
 	s.inherit(c.ep)
@@ -421,7 +427,7 @@
 		s.trimLine(m.key)
 		return // ended meanwhile; its turn and its key had to hear of the outcome all the same
 	}
-	s.sample(m, c, e.Outcome)
+	s.sample(m, c, e.Outcome, worn)
 	switch {
 	case e.Closed || e.Outcome == Pass:
 		s.finish(m, nil)
@@ -429,7 +435,7 @@
 	case s.now >= m.dropDead-endMargin, ran && m.class.Effect == Unsafe, s.spent(m):
 		s.giveUp(m)
 	default:
-		if ran || e.Outcome == NoRoute {
+		if !worn && (ran || e.Outcome == NoRoute) {
 			m.notBefore = s.now + retryRest<<min(m.attempts, 16)
 		}
 		s.enqueue(m)
@@ -446,12 +452,17 @@
 // through an outage only the time since the return counts (the call itself in any case): its hold says
 // nothing of what a new one would meet, and the old backlog kept the gate shut for messages that could be
 // in time.
-func (s *Sender) sample(m *message, c *call, o Outcome) {
+func (s *Sender) sample(m *message, c *call, o Outcome, worn bool) {
 	sec := seconds(s.now - max(m.arrived, min(c.ep.route.coldFrom, c.sentAt)))
 	switch o {
 	case Pass:
 	case Stale, Undone:
 		return
+	case Cut:
+		if worn {
+			return
+		}
+		sec = max(sec, failCharge*seconds(m.aim))
 	case NoRoom:
 		if !m.dest.troubled() {
 			return
@@ -494,11 +505,15 @@
 	case Pass:
 		ep.usual = ease(ep.usual, took)
 		ep.response = ease(ep.response, took)
-		if r.fails > 0 && r.harmless && !r.sick {
+		if r.fails > 0 && r.harmless && !r.sick && !s.cfg.FullTold {
 			s.crowded[ep.dest.kind] = s.now + crowdedSpan // no connection, then a pass: a full table
 		}
 		s.passed(r)
 	case Stale:
+	case Cut:
+		if !e.Kept {
+			s.failed(ep, took, false)
+		}
 	case NoRoom:
 		// Refusals in a row rest longer each time, over a limit or shut. They are no outage by themselves:
 		// a large fleet meets three in a row at any busy limit.
@@ -517,14 +532,19 @@
 			s.cut(ep.dest, r)
 		}
 	default:
-		ep.response = ease(ep.response, max(2*ep.response, took, seconds(slowLeast)))
-		s.failure(ep, false, e.Outcome == NoRoute)
+		s.failed(ep, took, e.Outcome == NoRoute)
 	}
 	if c.left == 0 && e.Outcome != NoRoute && e.Outcome != Stale {
 		s.giveBack(ep)
 	}
 }
 
+// failed books a call that failed.
+func (s *Sender) failed(ep *endpoint, took float64, harmless bool) {
+	ep.response = ease(ep.response, max(2*ep.response, took, seconds(slowLeast)))
+	s.failure(ep, false, harmless)
+}
+
 // giveBack closes idle connections that stand in other senders' way: an endpoint's table may be small, idle
 // ones counted, and a large fleet fills it. It acts where the connection would be closed before its next use
 // anyway, and at a kind where connects failed of late; there it costs handshakes while the sign lasts.
@@ -944,7 +964,10 @@
 		o.out++
 		c.left++
 		c.repeatable = c.repeatable && o.class.Effect != Unsafe
-		s.do(Send{ID: o.id, Endpoint: e.id, NotPast: s.timeout(o, e)})
+		// What may not be repeated is lost when a kept connection turns out broken; a handshake costs less,
+		// and less than another turn for what has had one.
+		fresh := s.now < s.wornTil && (o.class.Effect == Unsafe || o.attempts > 1)
+		s.do(Send{ID: o.id, Endpoint: e.id, NotPast: s.timeout(o, e), Fresh: fresh})
 	}
 	r.tokens--
 	if e.sentAt > 0 {
--- a/choice/state.go
+++ b/choice/state.go
@@ -22,6 +22,7 @@
 	resting []keyRest                // the same in the order in which they end
 	parted  map[string]time.Duration // waits told by routes apart that have left the list
 	crowded map[int]time.Duration    // connection tables of a kind seem full until then
+	wornTil time.Duration            // kept connections are not trusted until then
 	tenants []tenant
 	busy    int                 // calls out
 	sent    map[attempt]sending // attempts without an outcome
--- a/choice/types.go
+++ b/choice/types.go
@@ -50,6 +50,7 @@
 	AskForList     bool // changes of the list come only on request
 	Halves         bool // worth halves with each further aim; otherwise it falls evenly
 	RoughWeights   bool // an endpoint's Weight may be half too high or too low
+	FullTold       bool // a full connection table answers NoRoom; a failed connect is no sign of one
 	Weighted       bool // an endpoint's Weight is a rate in calls a second
 	OverShareWorth float64
 	ZoneFee        []float64
@@ -144,6 +145,7 @@
 	Outcome  Outcome
 	Took     time.Duration
 	Closed   bool          // the message is over
+	Kept     bool          // it went out on a connection that had been in use before
 	Wait     time.Duration // NoRoom: the wait told
 	NoSlot   bool          // Stale: all slots were taken
 	Report   Report
@@ -178,10 +180,11 @@
 // Action is one decision: Send, PushBack, Fail, Cancel, Probe, HangUp, Wake, Watch or Note.
 type Action interface{ action() }
 
-// Send calls an endpoint with a message; it is abandoned at NotPast.
+// Send calls an endpoint with a message; it is abandoned at NotPast. Fresh asks for a new connection.
 type Send struct {
 	ID, Endpoint string
 	NotPast      time.Duration
+	Fresh        bool
 }
 
 // PushBack ends a message undelivered; the client may safely come again after RetryAfter.
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -42,6 +42,7 @@
 	body     []byte
 	endpoint *endpoint
 	notPast  time.Time
+	fresh    bool // not on a kept connection
 }
 
 // result is how it ended.
@@ -51,6 +52,7 @@
 	noSlot  bool
 	closed  bool
 	report  choice.Report
+	kept    bool      // it went out on a kept connection
 	heard   time.Time // when its first line was read, if one was
 }
 
@@ -95,7 +97,12 @@
 		return result{outcome: choice.Stale}
 	}
 	k := p.take(c.endpoint)
-	if k == nil {
+	if k != nil && c.fresh { // the new one takes its place: an endpoint holds only so many
+		k.Close()
+		k = nil
+	}
+	kept := k != nil
+	if !kept {
 		if k, err = p.dial(ctx, c.endpoint.addr); err != nil {
 			return result{outcome: choice.NoRoute}
 		}
@@ -107,6 +114,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
 	res, reuse := k.exchange(ctx, request)
+	res.kept = kept
 	if stop() && reuse {
 		p.give(c.endpoint, k)
 	} else {
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -300,6 +300,21 @@
 	}
 }
 
+// Where kept connections break, a call asks for a new one; it takes the old one's place in the endpoint's table.
+func TestFreshConnection(t *testing.T) {
+	p := newPartner(t, says(delivered))
+	pool, c := testPool(), testCall(endpointAt(p.addr()))
+	for i, step := range []struct{ fresh, kept bool }{{false, false}, {false, true}, {true, false}} {
+		c.fresh = step.fresh
+		if got := pool.do(t.Context(), c); got.outcome != choice.Pass || got.kept != step.kept || pool.size != 1 {
+			t.Errorf("call %d: got %+v, %d kept", i, got, pool.size)
+		}
+	}
+	if calls, conns := p.counts(); calls != 3 || conns != 2 {
+		t.Errorf("%d calls on %d connections", calls, conns)
+	}
+}
+
 // Bytes that belong to no call would be taken for the next call's answer.
 func TestMoreThanTheAnswerIsNotReused(t *testing.T) {
 	p := newPartner(t, says(delivered+"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"))
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -49,6 +49,7 @@
 	if c.Settings, err = wire.Settings(c.RawSettings); err != nil {
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	c.Settings.FullTold = true // on sockets it is a 503
 	if c.Names, err = wire.SettingsNames(c.RawSettings); err != nil {
 		return c, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -454,7 +454,7 @@
 	}
 	return choice.Ended{
 		ID: m.name(), Attempt: e.n, Endpoint: e.endpoint.id, Outcome: e.outcome, Took: e.took, Closed: e.closed,
-		Wait: e.wait, NoSlot: e.noSlot, Report: e.report,
+		Wait: e.wait, NoSlot: e.noSlot, Report: e.report, Kept: e.kept,
 	}
 }
 
@@ -530,7 +530,7 @@
 	}
 	name, now := attempt{p.seq, len(p.sends)}, time.Now()
 	n.journal.add(attemptRecord(p.seq, now, e.zone))
-	c := call{id: p.id, key: p.key, body: p.body, endpoint: e, notPast: n.wall(a.NotPast)}
+	c := call{id: p.id, key: p.key, body: p.body, endpoint: e, notPast: n.wall(a.NotPast), fresh: a.Fresh}
 	n.acts = append(n.acts, func() {
 		ctx, cancel := context.WithCancel(ctx)
 		n.out[name] = outCall{p, cancel}
