A silent watch is left after 2.5 s, a silent notice after 0.15 s; the next life is not told of outages that were none

Lines: watchSilence of 10 s, where a line comes every 2 s and news counts as told after 4 to 6. Notices had the same class: 2 s of patience with a dead connection, overdue after 0.3.

Restarts, by reading and a test: a refusal over a limit and a call cut off by the leaving node were journaled as failures, and Resumed.Failed makes the module hold the destination for cold, 11 s at a third of its pace.

Tests read the pool's size under its lock; the race detector found one that did not.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -346,6 +346,22 @@
 // Knows tells that a destination is on the list, or was not long ago.
 func (s *Sender) Knows(dest int) bool { return s.dests[dest] != nil }
 
+// Ominous tells whether an outcome is a sign of an outage that the next life should hear of with its message.
+// A refusal over a limit is none, nor is a call that was called off, nor a kept connection that broke.
+func (s *Sender) Ominous(dest int, e Ended) bool {
+	switch e.Outcome {
+	case Pass, Stale, Undone:
+		return false
+	case Cut:
+		return !e.Kept
+	case NoRoom:
+		d := s.dests[dest]
+		struck := func(ep *endpoint) bool { return ep.route.recovering() }
+		return e.Wait > shutWait || (d != nil && slices.ContainsFunc(d.endpoints, struck))
+	}
+	return true
+}
+
 // finish ends a message; a is nil when it is over without our doing.
 func (s *Sender) finish(m *message, a Action) {
 	if m.over {
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -115,6 +115,13 @@
 
 func testPool() *pool { return newPool(2*time.Second, time.Minute, 16) }
 
+// keptBy counts the connections that a pool keeps.
+func keptBy(p *pool) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.size
+}
+
 func testCall(e *endpoint) call {
 	return call{id: "9b1f03aa5c7e2d41", key: "5c0f", body: []byte("body\x00"), endpoint: e, notPast: time.Now().Add(patience)}
 }
@@ -267,9 +274,7 @@
 			t.Fatalf("got %+v", got)
 		}
 		eventually(t, "the closed connection is dropped", func() bool {
-			pool.mu.Lock()
-			defer pool.mu.Unlock()
-			return pool.size == 0
+			return keptBy(pool) == 0
 		})
 	}
 }
@@ -279,9 +284,7 @@
 	pool, e := newPool(time.Second, 20*time.Millisecond, 16), endpointAt(p.addr())
 	pool.do(t.Context(), testCall(e))
 	eventually(t, "the idle connection is dropped", func() bool {
-		pool.mu.Lock()
-		defer pool.mu.Unlock()
-		return pool.size == 0
+		return keptBy(pool) == 0
 	})
 }
 
@@ -295,7 +298,7 @@
 		t.Errorf("%d calls on %d connections", calls, conns)
 	}
 	pool.close()
-	if pool.size != 0 {
+	if keptBy(pool) != 0 {
 		t.Error("connections are kept after close")
 	}
 }
@@ -306,8 +309,8 @@
 	pool, c := testPool(), testCall(endpointAt(p.addr()))
 	for i, step := range []struct{ fresh, kept bool }{{false, false}, {false, true}, {true, false}} {
 		c.fresh = step.fresh
-		if got := pool.do(t.Context(), c); got.outcome != choice.Pass || got.kept != step.kept || pool.size != 1 {
-			t.Errorf("call %d: got %+v, %d kept", i, got, pool.size)
+		if got := pool.do(t.Context(), c); got.outcome != choice.Pass || got.kept != step.kept || keptBy(pool) != 1 {
+			t.Errorf("call %d: got %+v, %d kept", i, got, keptBy(pool))
 		}
 	}
 	if calls, conns := p.counts(); calls != 3 || conns != 2 {
@@ -370,8 +373,8 @@
 				if code == "200" {
 					want = result{outcome: choice.Pass, closed: true}
 				}
-				if got != want || pool.size != 0 {
-					t.Errorf("got %+v, want %+v; %d kept", got, want, pool.size)
+				if got != want || keptBy(pool) != 0 {
+					t.Errorf("got %+v, want %+v; %d kept", got, want, keptBy(pool))
 				}
 			})
 		}
@@ -416,8 +419,8 @@
 	})
 	e.addr = p.addr()
 	pool := testPool()
-	if got := pool.do(t.Context(), testCall(e)); got.outcome != choice.Pass || pool.size != 0 {
-		t.Errorf("got %+v, %d kept", got, pool.size)
+	if got := pool.do(t.Context(), testCall(e)); got.outcome != choice.Pass || keptBy(pool) != 0 {
+		t.Errorf("got %+v, %d kept", got, keptBy(pool))
 	}
 }
 
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	maxListLine  = 4 << 20
-	watchSilence = 10 * time.Second // an empty line comes every 2 s while discovery is up
+	maxListLine = 4 << 20
+	// An empty line comes every 2 s. A watch without one has died, though its connection may not show it, and what
+	// changes counts as told to the node 4 s later all the same. A new watch is answered at once.
+	watchSilence = 2500 * time.Millisecond
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 2 * time.Second
 )
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -18,12 +18,13 @@
 // written outlasts it, so nothing is synced; a kill can at most tear the last record.
 
 const (
-	recAccepted byte = iota + 1 // a message was taken on
-	recAttempt                  // an attempt is about to be sent
-	recNotRun                   // an attempt failed and is proven not to have run
-	recFailed                   // an attempt failed and may have run
-	recEnded                    // the final answer, whose notice is still owed
-	recOver                     // nothing is owed any more
+	recAccepted   byte = iota + 1 // a message was taken on
+	recAttempt                    // an attempt is about to be sent
+	recNotRun                     // an attempt failed, as in an outage, and is proven not to have run
+	recFailed                     // an attempt failed and may have run
+	recEnded                      // the final answer, whose notice is still owed
+	recOver                       // nothing is owed any more
+	recTurnedAway                 // an attempt did not run, and its destination is well
 )
 
 const (
@@ -211,6 +212,10 @@
 		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
 			p.sends[n].notRun, p.sends[n].failed = true, true
 		}
+	case recTurnedAway:
+		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
+			p.sends[n].notRun = true
+		}
 	case recFailed:
 		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
 			p.sends[n].failed = true
@@ -253,7 +258,7 @@
 	return binary.AppendUvarint(appendTime(record(recAttempt, seq), at), uint64(zone))
 }
 
-// outcomeRecord is of recNotRun or recFailed.
+// outcomeRecord is of recNotRun, recTurnedAway or recFailed.
 func outcomeRecord(kind byte, seq uint64, attempt int) []byte {
 	return binary.AppendUvarint(record(kind, seq), uint64(attempt))
 }
@@ -336,8 +341,10 @@
 		for i, s := range p.sends {
 			put(attemptRecord(p.seq, s.at, s.zone))
 			switch {
-			case s.notRun:
+			case s.notRun && s.failed:
 				put(outcomeRecord(recNotRun, p.seq, i))
+			case s.notRun:
+				put(outcomeRecord(recTurnedAway, p.seq, i))
 			case s.failed:
 				put(outcomeRecord(recFailed, p.seq, i))
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -434,16 +434,26 @@
 	return n.waits[e.Dest]
 }
 
-// called notes the outcome of a call.
+// called notes the outcome of a call. Without a record of it, the attempt may have run.
 func (n *Node) called(e called) choice.Event {
 	m := n.out[e.attempt].m
 	delete(n.out, e.attempt)
+	ended := choice.Ended{
+		ID: m.name(), Attempt: e.n, Endpoint: e.endpoint.id, Outcome: e.outcome, Took: e.took, Closed: e.closed,
+		Wait: e.wait, NoSlot: e.noSlot, Report: e.report, Kept: e.kept,
+	}
+	ominous := n.sender.Ominous(m.dest, ended)
 	switch e.outcome {
-	case choice.Pass:
 	case choice.NoRoom, choice.NoRoute, choice.Stale:
-		n.journal.add(outcomeRecord(recNotRun, e.seq, e.n))
+		kind := recTurnedAway
+		if ominous {
+			kind = recNotRun
+		}
+		n.journal.add(outcomeRecord(kind, e.seq, e.n))
 	default:
-		n.journal.add(outcomeRecord(recFailed, e.seq, e.n))
+		if ominous {
+			n.journal.add(outcomeRecord(recFailed, e.seq, e.n))
+		}
 	}
 	if e.closed && m.ended == nil {
 		n.forget(m)
@@ -452,10 +462,7 @@
 		until := time.Now().Add(e.wait).UnixNano()
 		e.endpoint.wait.Store(max(until, e.endpoint.wait.Load()))
 	}
-	return choice.Ended{
-		ID: m.name(), Attempt: e.n, Endpoint: e.endpoint.id, Outcome: e.outcome, Took: e.took, Closed: e.closed,
-		Wait: e.wait, NoSlot: e.noSlot, Report: e.report, Kept: e.kept,
-	}
+	return ended
 }
 
 // step lets the module decide and carries out what it says, in order, once the records are written that guard
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -321,6 +321,31 @@
 	p.next(t)
 }
 
+// A watch may die without a sign. What the list tells meanwhile counts as told all the same, so the silence itself
+// must end it; 8 s is twice the time allowed.
+func TestSilentWatchIsTakenUpAgain(t *testing.T) {
+	t.Parallel()
+	began, watches := time.Now(), make(chan time.Duration, 10)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		watches <- time.Since(began)
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	}))
+	t.Cleanup(srv.Close)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var ended sync.WaitGroup
+	ended.Go(func() {
+		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 0, func(list) {})
+	})
+	<-watches
+	if again := <-watches; again > 8*time.Second {
+		t.Errorf("the silent watch is left after %v", again)
+	}
+	cancel()
+	ended.Wait()
+}
+
 func TestNoticeIsRetriedUntilTaken(t *testing.T) {
 	t.Parallel()
 	p, r := newPartner(t, says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")), newRegistry(t)
@@ -518,7 +543,8 @@
 	}{
 		{"out at the kill", func(seq uint64) []byte { return nil }, false, true},
 		{"timed out", func(seq uint64) []byte { return outcomeRecord(recFailed, seq, 0) }, true, true},
-		{"refused", func(seq uint64) []byte { return outcomeRecord(recNotRun, seq, 0) }, true, false},
+		{"no route", func(seq uint64) []byte { return outcomeRecord(recNotRun, seq, 0) }, true, false},
+		{"over a limit", func(seq uint64) []byte { return outcomeRecord(recTurnedAway, seq, 0) }, false, false},
 	} {
 		dir := t.TempDir()
 		j := openTest(t, dir, 3)
@@ -528,6 +554,9 @@
 			j.add(rec)
 		}
 		mustFlush(t, j)
+		if err := j.compact(); err != nil { // keeps them apart as well
+			t.Fatal(err)
+		}
 		n := &Node{start: time.Now()}
 		for _, p := range openTest(t, dir, 3).live {
 			r := n.resumed(p)
@@ -675,6 +704,36 @@
 	n.calls.Wait()
 }
 
+// A call that the leaving node cuts off, and a refusal over a limit, must not make the next life hold its destination
+// for one that comes back cold.
+func TestLeavingIsNoOutage(t *testing.T) {
+	for name, c := range map[string]struct {
+		serve           func(net.Conn, *http.Request) bool
+		failed, touched bool
+	}{
+		"cut off":      {silent, false, true},
+		"over a limit": {says("HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n"), false, false},
+		"error":        {says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), true, true},
+	} {
+		p := newPartner(t, c.serve)
+		n := bareNode(t, serving("e", p.addr(), 7, "SERVING"))
+		n.take(t.Context(), []any{handIn("a", 50*time.Second)})
+		p.next(t)
+		n.take(t.Context(), []any{choice.Leaving{By: 1}})
+		for _, out := range n.out {
+			if name == "cut off" {
+				out.cancel()
+			}
+		}
+		n.take(t.Context(), []any{<-n.events})
+		if r := n.resumed(n.messages["a"]); r.Failed != c.failed || r.Touched != c.touched || r.Attempts != 1 {
+			t.Errorf("%s: got %+v", name, r)
+		}
+		n.pool.close()
+		n.calls.Wait()
+	}
+}
+
 // -BUSY tells when to come back, also where the module is not asked.
 func TestTurnedAwayWithATime(t *testing.T) {
 	n := bareNode(t, held())
@@ -705,7 +764,7 @@
 		}
 	}
 	for what, size := range map[string]int{
-		"endpoints": len(n.eps), "messages": len(n.messages), "live": len(n.journal.live), "held": n.held, "kept": n.pool.size,
+		"endpoints": len(n.eps), "messages": len(n.messages), "live": len(n.journal.live), "held": n.held, "kept": keptBy(n.pool),
 	} {
 		if size > 2 {
 			t.Errorf("%s: %d", what, size)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	maxNotices    = 256 // in one request
-	noticeTimeout = 2 * time.Second
+	maxNotices = 256 // in one request
+	// A notice is answered at once, and is overdue 300 ms after its message's time: a connection that has died in
+	// silence must leave time for another.
+	noticeTimeout = 150 * time.Millisecond
 )
 
 // notice is the end of a message that was taken on and not delivered.
