Another discovery's older list undoes no drain; the address is read before it can change

So nothing is lost, but one that lags could bring back what was told to drain: a list older than the newest told is not taken for 2 s after a move, then its counting is taken for its own.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -24,6 +24,9 @@
 	// An empty line comes every 2 s. A watch without one has died, though its connection may not show it, and what
 	// changes counts as told to the node 4 s later all the same. A new watch is answered at once.
 	watchSilence = 2500 * time.Millisecond
+	// For so long another server is given to catch up with what was told; then its revisions are taken to count
+	// something else. What changes counts as told 4 s after a move.
+	catchUpTime  = 2 * time.Second
 	firstBackoff = 50 * time.Millisecond
 	lastBackoff  = 2 * time.Second
 )
@@ -98,18 +101,25 @@
 	}
 }
 
-// watch follows discovery until the context ends, and hands each list on.
-func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, tell func(list)) {
+// errBehind says that a server has not yet been sent what another one has told.
+var errBehind = errors.New("the list is older than what was told before")
+
+// watch follows discovery until the context ends, and hands each list on. One that is not taken ends its watch,
+// and is asked for again.
+func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, tell func(list) error) {
 	var pause backoff
 	for ctx.Err() == nil {
 		first := true
-		err := watchOnce(ctx, client, addr, after, func(l list) {
+		err := watchOnce(ctx, client, addr, after, func(l list) error {
 			if first {
 				log.Info("watching", "discovery", addr, "after", after, "revision", l.Revision, "complete", l.Complete,
 					"members", len(l.Members))
 			}
+			if err := tell(l); err != nil {
+				return err
+			}
 			after, pause, first = l.Revision, 0, false
-			tell(l)
+			return nil
 		})
 		if ctx.Err() == nil {
 			log.Debug("watch ended", "err", err)
@@ -119,7 +129,7 @@
 }
 
 // watchOnce follows one watch to its end. One that has gone silent is given up: its machine may be gone.
-func watchOnce(ctx context.Context, client *http.Client, addr string, after int64, tell func(list)) error {
+func watchOnce(ctx context.Context, client *http.Client, addr string, after int64, tell func(list) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(watchSilence, cancel)
@@ -149,7 +159,9 @@
 		if err := json.Unmarshal(line, &l); err != nil {
 			return fmt.Errorf("watch: %w", err)
 		}
-		tell(l)
+		if err := tell(l); err != nil {
+			return err
+		}
 	}
 	return errors.Join(lines.Err(), io.EOF)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,20 +155,30 @@
 	}
 }
 
-// consult keeps the watch and the reports at discovery's address, and takes both along when that changes. What
-// a server's revision counts is its own affair, so another one is asked for its whole list. Notices that were
-// not answered go to the new address.
+// consult keeps the watch and the reports at discovery's address, and takes both along when that changes. Another
+// server is asked for all it has, so that nothing is lost; while its list is older than what was told, it is not
+// taken, or a drain could be undone. Notices that were not answered go to the new address.
 func (n *Node) consult(ctx context.Context) {
 	addr, after := n.cfg.Discovery, n.cfg.Known.Revision
+	newest, caughtUp := after, time.Now() // only the watch, of which there is one at a time, uses them
+	tell := func(l list) error {
+		if l.Revision < newest && time.Now().Before(caughtUp) {
+			return errBehind
+		}
+		newest = l.Revision
+		n.tell(ctx, l)
+		return nil
+	}
 	var unanswered []notice
 	for ctx.Err() == nil {
 		here, leave := context.WithCancel(ctx)
 		transport := &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}
 		client := &http.Client{Transport: transport}
+		at, from := addr, after // those below change while the parts begin
 		var parts sync.WaitGroup
-		parts.Go(func() { watch(here, n.log, client, addr, after, func(l list) { n.tell(ctx, l) }) })
+		parts.Go(func() { watch(here, n.log, client, at, from, tell) })
 		parts.Go(func() {
-			unanswered = report(here, n.log, client, addr, unanswered, n.notices, func(b []notice) { n.tell(ctx, settled(b)) })
+			unanswered = report(here, n.log, client, at, unanswered, n.notices, func(b []notice) { n.tell(ctx, settled(b)) })
 		})
 		for stay := true; stay; { // being told the same address again changes nothing
 			select {
@@ -184,6 +194,7 @@
 		leave()
 		parts.Wait()
 		transport.CloseIdleConnections()
+		caughtUp = time.Now().Add(catchUpTime)
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -336,7 +337,7 @@
 	defer cancel()
 	var ended sync.WaitGroup
 	ended.Go(func() {
-		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 0, func(list) {})
+		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 0, func(list) error { return nil })
 	})
 	<-watches
 	if again := <-watches; again > 8*time.Second {
@@ -346,6 +347,49 @@
 	ended.Wait()
 }
 
+// Another server may be behind the one before: its older list must not undo a drain, and the newer one must come. One
+// whose revisions count something else is believed after a while.
+func TestAnotherDiscoveryThatIsBehind(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		lists []int // revisions, one a watch; the last one again and again
+		want  []int64
+	}{
+		{"behind, then not", []int{4, 4, 6}, []int64{5, 6}},
+		{"of its own counting", []int{1}, []int64{5, 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var watches atomic.Int32
+			serve := func(revision func() int) string {
+				srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+					fmt.Fprintln(w, listOf(revision(), false))
+					w.(http.Flusher).Flush()
+					<-req.Context().Done()
+				}))
+				t.Cleanup(srv.Close)
+				return srv.Listener.Addr().String()
+			}
+			n := bareNode(t, held())
+			n.cfg.Discovery = serve(func() int { return 5 })
+			ctx, cancel := context.WithCancel(t.Context())
+			var ended sync.WaitGroup
+			ended.Go(func() { n.consult(ctx) })
+			for i, want := range c.want {
+				if l := (<-n.events).(list); l.Revision != want {
+					t.Errorf("list %d: got revision %d, want %d", i, l.Revision, want)
+				}
+				if i == 0 {
+					n.Move(serve(func() int { return c.lists[min(int(watches.Add(1)), len(c.lists))-1] }))
+				}
+			}
+			cancel()
+			ended.Wait()
+		})
+	}
+}
+
 func TestNoticeIsRetriedUntilTaken(t *testing.T) {
 	t.Parallel()
 	p, r := newPartner(t, says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")), newRegistry(t)
