--- a/choice/choice.go
+++ b/choice/choice.go
@@ -47,6 +47,7 @@
 	// Slots.
 	slowFactor = 5                      // a call older than so many usual times makes its destination slow
 	slowLeast  = 700 * time.Millisecond // but not before this, or noise would
+	lostFactor = 10                     // at so many usual times an answer may have been lost, not just late
 	slotSpan   = 2 * time.Second        // slot time fades from memory in this span
 	sendCharge = 10 * time.Millisecond  // slot time booked at once, so that sends of one moment take turns
 	slowShare  = 0.4                    // share of the slots that all slow destinations together may hold
@@ -292,8 +293,10 @@
 	if d.gate.accepts(d.gate.average, seconds(m.class.Deadline)) {
 		return true
 	}
-	// Shut: with nobody held or out, a single trial message lets the ratio fall.
-	if len(d.waiting) == 0 && len(d.calls) == 0 && s.now-d.lastTrial >= gateTrial {
+	// Shut: with nobody held or out, a single trial message lets the ratio fall. Calls that are overdue don't
+	// count: one silent payout, out for all its time, kept the gate shut as long.
+	awaited := slices.ContainsFunc(d.calls, func(c *call) bool { return !s.overdue(c) })
+	if len(d.waiting) == 0 && !awaited && s.now-d.lastTrial >= gateTrial {
 		d.lastTrial = s.now
 		return true
 	}
@@ -423,13 +426,15 @@
 	if c.left--; c.left == 0 {
 		s.hangEnd(c)
 	}
-	// A kept connection that breaks under a call tells of the connection, not of its destination.
+	// A kept connection that breaks under a call tells of the connection, not of its destination; so does
+	// silence where calls that were sent later have passed.
 	worn := e.Kept && e.Outcome == Cut
 	if worn {
 		s.wornTil = s.now + wornSpan
 	}
+	lone := worn || (e.Outcome == TooSlow || e.Outcome == Undone) && s.lost(c)
 	s.report(c.ep.route, e.Report)
-	s.judge(c, e)
+	s.judge(c, e, lone)
 	s.inherit(c.ep)
 	m.out--
 	ran := e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == Cut || e.Outcome == Undone
@@ -443,7 +448,7 @@
 		s.trimLine(m.key)
 		return // ended meanwhile; its turn and its key had to hear of the outcome all the same
 	}
-	s.sample(m, c, e.Outcome, worn)
+	s.sample(m, c, e.Outcome, lone)
 	switch {
 	case e.Closed || e.Outcome == Pass:
 		s.finish(m, nil)
@@ -468,17 +473,15 @@
 // through an outage only the time since the return counts (the call itself in any case): its hold says
 // nothing of what a new one would meet, and the old backlog kept the gate shut for messages that could be
 // in time.
-func (s *Sender) sample(m *message, c *call, o Outcome, worn bool) {
+func (s *Sender) sample(m *message, c *call, o Outcome, lone bool) {
+	if lone {
+		return
+	}
 	sec := seconds(s.now - max(m.arrived, min(c.ep.route.coldFrom, c.sentAt)))
 	switch o {
 	case Pass:
 	case Stale, Undone:
 		return
-	case Cut:
-		if worn {
-			return
-		}
-		sec = max(sec, failCharge*seconds(m.aim))
 	case NoRoom:
 		if !m.dest.troubled() {
 			return
@@ -511,26 +514,27 @@
 	}
 }
 
-// judge updates the health of an endpoint and its route from an outcome.
-func (s *Sender) judge(c *call, e Ended) {
+// judge updates the health of an endpoint and its route from an outcome. One that tells of its connection
+// alone says nothing of them.
+func (s *Sender) judge(c *call, e Ended, lone bool) {
 	ep, r, took := c.ep, c.ep.route, max(seconds(e.Took), seconds(floorResponse))
 	if c.trial {
 		r.trial = false
 	}
-	switch e.Outcome {
-	case Pass:
+	switch {
+	case lone:
+	case e.Outcome == Pass:
+		if took <= slowFactor*ep.usual {
+			ep.provenAt = max(ep.provenAt, c.sentAt)
+		}
 		ep.usual = ease(ep.usual, took)
 		ep.response = ease(ep.response, took)
 		if r.fails > 0 && r.harmless && !r.sick && !s.cfg.FullTold {
 			s.crowded[ep.dest.kind] = s.now + crowdedSpan // no connection, then a pass: a full table
 		}
 		s.passed(r)
-	case Stale:
-	case Cut:
-		if !e.Kept {
-			s.failed(ep, took, false)
-		}
-	case NoRoom:
+	case e.Outcome == Stale:
+	case e.Outcome == NoRoom:
 		// Refusals in a row rest longer each time, over a limit or shut. They are no outage by themselves:
 		// a large fleet meets three in a row at any busy limit.
 		if s.now-r.waitUntil > r.rest {
@@ -723,14 +727,31 @@
 	r.tokensAt = s.now
 }
 
-// slow tells that a destination's oldest call has been out far longer than usual: before any time-out has
-// passed, silence and crawling look like this. Its share of the slots is capped then.
+// patience is how long a call may be out before that is far longer than usual, in seconds.
+func (c *call) patience() float64 { return max(slowFactor*c.ep.usual, seconds(slowLeast)) }
+
+// overdue tells that a call has been out for so long that its answer is hardly to be counted on.
+func (s *Sender) overdue(c *call) bool {
+	return seconds(s.now-c.sentAt) > max(lostFactor*c.ep.usual, seconds(slowLeast))
+}
+
+// lost tells that a call is overdue though one sent later to the same endpoint has passed in the usual time:
+// its connection or its answer is gone, and its silence says nothing of the destination. Without this, single
+// calls lost on the way, payouts above all, which are out for all their time, made every busy destination
+// look slow, and then struck. It guards as well against answers that are dropped or held back one by one. It
+// could do harm where an endpoint serves some calls fast and lets others hang for good: those hold slots
+// beyond the slow share, until none is free and preempt takes them first.
+func (s *Sender) lost(c *call) bool { return c.sentAt < c.ep.provenAt && s.overdue(c) }
+
+// slow tells that a destination's oldest call, of those not lost, has been out far longer than usual: before
+// any time-out has passed, silence and crawling look like this. Its share of the slots is capped then.
 func (s *Sender) slow(d *destination) bool {
-	if len(d.calls) == 0 {
-		return false
+	for _, c := range d.calls {
+		if !s.lost(c) {
+			return seconds(s.now-c.sentAt) > c.patience()
+		}
 	}
-	c := d.calls[0]
-	return seconds(s.now-c.sentAt) > max(slowFactor*c.ep.usual, seconds(slowLeast))
+	return false
 }
 
 // spend brings the slot time that the destination had of late up to now.
@@ -755,8 +776,13 @@
 func (s *Sender) lameHeld() int {
 	n := 0
 	for _, d := range s.active {
-		if len(d.calls) > 0 && s.lame(d) {
-			n += len(d.calls)
+		if len(d.calls) == 0 || !s.lame(d) {
+			continue
+		}
+		for _, c := range d.calls {
+			if !s.lost(c) {
+				n++
+			}
 		}
 	}
 	return n
@@ -777,13 +803,13 @@
 			if c.called {
 				return // its slot is about to come back
 			}
-			if slow {
+			idle := slow || s.lost(c)
+			if idle {
 				held++
 			}
-			patience := max(slowFactor*c.ep.usual, seconds(slowLeast))
-			patience *= math.Pow(timeoutGrow, float64(c.ep.route.fails))
+			patience := c.patience() * math.Pow(timeoutGrow, float64(c.ep.route.fails))
 			over := seconds(s.now-c.sentAt) / patience
-			if (c.repeatable && over > 1) || (!c.repeatable && slow && oldest == nil) {
+			if (c.repeatable && over > 1) || (!c.repeatable && idle && oldest == nil) {
 				if oldest == nil || (c.repeatable && (!oldest.repeatable || over > late)) {
 					oldest, late = c, over
 				}
@@ -1015,6 +1041,6 @@
 func (s *Sender) probed(e Probed) {
 	if ep := s.eps[e.Endpoint]; ep != nil {
 		s.report(ep.route, e.Report)
-		s.judge(&call{ep: ep, trial: true}, Ended{Outcome: e.Outcome, Took: e.Took})
+		s.judge(&call{ep: ep, trial: true}, Ended{Outcome: e.Outcome, Took: e.Took}, false)
 	}
 }
--- /dev/null
+++ b/choice/lost_test.go
@@ -0,0 +1,84 @@
+package choice
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Calls that get no answer while later ones to their endpoint pass are lost alone: their destination is neither slow
+// nor struck, and its gate hears nothing of them. With nothing passing meanwhile the same silence is an outage.
+func TestLoneSilenceIsNoOutage(t *testing.T) {
+	for _, passing := range []bool{true, false} {
+		cfg := settings()
+		classOf := func(e Effect) int {
+			return slices.IndexFunc(cfg.Classes, func(c Class) bool { return c.Effect == e && !c.Ordered })
+		}
+		s, now := New(cfg, 1), time.Hour
+		sends := func(e Event) (out []Send) {
+			for _, a := range s.Step(now, []Event{e}) {
+				if a, ok := a.(Send); ok {
+					out = append(out, a)
+				}
+			}
+			return out
+		}
+		arrive := func(id string, e Effect) bool {
+			return len(sends(Arrived{ID: id, Class: classOf(e), DropDead: now + time.Minute})) == 1
+		}
+		s.Step(now, []Event{list(Entry{Endpoint: "a", Weight: 1000})})
+		pass := func(id string) {
+			if !arrive(id, Safe) {
+				t.Fatalf("passing is %v: %s is held", passing, id)
+			}
+			now += 20 * ms
+			s.Step(now, []Event{Ended{ID: id, Endpoint: "a", Took: 20 * ms}})
+			now += 280 * ms
+		}
+		for i := range 5 {
+			pass(fmt.Sprint("before", i))
+		}
+		d := s.dests[0]
+		average, sent := d.gate.average, now
+		for i := range 4 {
+			if !arrive(fmt.Sprint("lost", i), Safe) {
+				t.Fatalf("lost%d is held", i)
+			}
+			now += 100 * ms
+		}
+		for i := range 4 {
+			if now += 200 * ms; passing {
+				pass(fmt.Sprint("meanwhile", i))
+			}
+		}
+		if s.Step(now, nil); s.slow(d) == passing {
+			t.Errorf("passing is %v, so is slow", passing)
+		}
+		for i := range 4 {
+			s.Step(now, []Event{Ended{ID: fmt.Sprint("lost", i), Endpoint: "a", Outcome: TooSlow, Took: now - sent}})
+		}
+		if r := d.shared; r.sick == passing || (d.gate.average > average+0.1) == passing {
+			t.Errorf("passing is %v: sick is %v, the average went from %v to %v", passing, r.sick, average, d.gate.average)
+		}
+	}
+}
+
+// A shut gate does not wait for an answer that is long overdue before it lets a trial message in.
+func TestOverdueCallsKeepNoTrialOut(t *testing.T) {
+	s, now := New(settings(), 1), time.Hour
+	s.Step(now, []Event{one()})
+	unsafe := slices.IndexFunc(settings().Classes, func(c Class) bool { return c.Effect == Unsafe })
+	s.Step(now, []Event{Arrived{ID: "silent", Class: unsafe, DropDead: now + time.Minute}})
+	s.dests[0].gate = gate{seen: true, baseline: 0.1, average: 9, at: now}
+	for _, c := range []struct {
+		after time.Duration
+		taken bool
+	}{{slowLeast - 100*ms, false}, {slowLeast + 100*ms, true}} {
+		id := c.after.String()
+		s.Step(now+c.after, []Event{Arrived{ID: id, DropDead: now + time.Minute}})
+		if (s.msgs[id] != nil) != c.taken {
+			t.Errorf("%v after the call that is out: taken on is %v", c.after, !c.taken)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -106,6 +106,7 @@
 	ready    bool
 	response float64       // smoothed seconds, failures counting slow
 	usual    float64       // smoothed seconds of passed calls
+	provenAt time.Duration // the latest send of a call that passed in the usual time
 	sentAt   time.Duration // last call
 	gap      float64       // smoothed seconds between calls
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -153,6 +153,14 @@
 
 // startNode runs a node in this process until the test ends or stop is called.
 func startNode(t *testing.T, r *registry, state string, known ...string) (addr string, stop func()) {
+	t.Helper()
+	return startAltered(t, r, state, nil, known...)
+}
+
+// startAltered is startNode with something changed in the configuration.
+func startAltered(
+	t *testing.T, r *registry, state string, alter func(*Config), known ...string,
+) (addr string, stop func()) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -163,6 +171,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if alter != nil {
+		alter(&cfg)
+	}
 	n, err := New(cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -390,6 +401,35 @@
 	}
 }
 
+// Payouts that get no answer are out for all their time. While others pass at their partner they must not hold those
+// up: once they looked slow, they took all the slots that slow partners may have, and nothing more was sent.
+func TestLostCallsHoldNobodyUp(t *testing.T) {
+	t.Parallel()
+	answer := says(delivered)
+	p := newPartner(t, func(nc net.Conn, req *http.Request) bool {
+		if strings.HasPrefix(req.Header.Get("X-Trace-Id"), "lost") {
+			return silent(nc, req)
+		}
+		return answer(nc, req)
+	})
+	addr, _ := startAltered(t, newRegistry(t), t.TempDir(), func(c *Config) { c.Settings.Slots = 4 },
+		serving("e", p.addr(), 7, "SERVING"))
+	mustAnswer(t, addr, enqueue("first", ofStatus, ""), "+OK")
+	p.next(t)
+	for _, id := range []string{"lost1", "lost2"} {
+		mustAnswer(t, addr, enqueue(id, ofPayout, ""), "+OK")
+		p.next(t)
+	}
+	// Well past the time after which a call looks slow each message still goes out at once: its payouts have 50 s.
+	began, every := time.Now(), time.NewTicker(20*time.Millisecond)
+	defer every.Stop()
+	for i := 0; time.Since(began) < 2*time.Second; i++ {
+		mustAnswer(t, addr, enqueue("m"+itoa(i), ofStatus, ""), "+OK")
+		p.next(t)
+		<-every.C
+	}
+}
+
 func TestNoticeIsRetriedUntilTaken(t *testing.T) {
 	t.Parallel()
 	p, r := newPartner(t, says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")), newRegistry(t)
