--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,7 +41,8 @@
 	roughWeight = 1.5 // a rough weight may be this many times too high
 
 	// Connections.
-	crowdedSpan = 30 * time.Second // idle connections of a kind are given back so long after a failed connect
+	crowdedSpan = 30 * time.Second // idle ones are given back so long after a full table
+	roomGrow    = 2.0              // connections a second that are tried again there beyond those known to fit
 	wornSpan    = 10 * time.Second // kept connections are not trusted so long after one broke under a call
 
 	// Slots.
@@ -534,6 +535,8 @@
 		}
 		s.passed(r)
 	case e.Outcome == Stale:
+	case e.Outcome == NoRoom && e.HungUp && !e.Kept && e.Wait == 0 && !r.sick:
+		s.crowd(ep)
 	case e.Outcome == NoRoom:
 		// Refusals in a row rest longer each time, over a limit or shut. They are no outage by themselves:
 		// a large fleet meets three in a row at any busy limit.
@@ -570,8 +573,30 @@
 // anyway, and at a kind where connects failed of late; there it costs handshakes while the sign lasts.
 func (s *Sender) giveBack(ep *endpoint) {
 	unused := s.cfg.ConnIdle > 0 && (ep.gap == 0 || ep.gap > seconds(s.cfg.ConnIdle))
-	if len(ep.dest.waiting) == 0 && (unused || s.now < s.crowded[ep.dest.kind]) {
+	switch {
+	case len(ep.dest.waiting) > 0:
+	case unused || s.now < s.crowded[ep.dest.kind]:
 		s.do(HangUp{Endpoint: ep.id})
+	case ep.room > 0 && s.now-ep.crowdedAt < crowdedSpan:
+		s.do(HangUp{Endpoint: ep.id, Keep: 1})
+	}
+}
+
+// crowd takes a new connection that was refused and closed: the endpoint's table is full, while the
+// connections that it holds go on being served. That is neither its limit nor an outage: taken for a limit,
+// it cut the pace to a quarter and stopped the calls that had a connection. As many calls as are out there
+// fit, and little by little more is tried; lost calls, which hold a connection each, are called off. It
+// guards against any peer that sheds connections rather than calls. It could do harm at one that hangs up
+// so on whatever is above its limit: the pace would fall by the connections alone.
+func (s *Sender) crowd(ep *endpoint) {
+	if ep.out == 0 { // nothing of ours is there: somebody else has to leave first
+		ep.shyTil = s.now + refusedRest + time.Duration(s.rng.Int64N(int64(refusedRest)))
+	}
+	ep.room, ep.crowdedAt = float64(max(ep.out, 1)), s.now
+	for _, c := range ep.dest.calls {
+		if c.ep == ep && s.lost(c) {
+			s.callOff(c)
+		}
 	}
 }
 
@@ -819,9 +844,16 @@
 	if oldest == nil || (!oldest.repeatable && float64(held) <= slowShare*float64(s.cfg.Slots)) {
 		return
 	}
-	oldest.called = true
-	for _, a := range oldest.sends {
-		if s.sent[a].c == oldest {
+	s.callOff(oldest)
+}
+
+func (s *Sender) callOff(c *call) {
+	if c.called || !s.cfg.MayCancel {
+		return
+	}
+	c.called = true
+	for _, a := range c.sends {
+		if s.sent[a].c == c {
 			s.do(Cancel{ID: a.id, Attempt: a.n})
 		}
 	}
@@ -935,7 +967,11 @@
 // routeOpen is the part of the check that hangs on the endpoint alone: drain, wait, health, budget and pace.
 func (s *Sender) routeOpen(e *endpoint) bool {
 	r := e.route
-	if !e.ready || s.now < r.waitUntil || r.tokens < 1 {
+	if !e.ready || s.now < r.waitUntil || r.tokens < 1 || s.now < e.shyTil {
+		return false
+	}
+	if since := s.now - e.crowdedAt; e.room > 0 && since < crowdedSpan &&
+		float64(e.out) >= e.room+roomGrow*seconds(since) {
 		return false
 	}
 	return !r.sick || (!r.trial && s.now >= r.trialAt)
@@ -1017,6 +1053,7 @@
 	}
 	e.sentAt = s.now
 	s.busy++
+	e.out++
 	d.calls = append(d.calls, c)
 	d.used += seconds(sendCharge)
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -109,6 +109,12 @@
 	provenAt time.Duration // the latest send of a call that passed in the usual time
 	sentAt   time.Duration // last call
 	gap      float64       // smoothed seconds between calls
+	out      int           // calls out
+
+	// Its table of connections, once that was full.
+	crowdedAt time.Duration // the last sign of it
+	room      float64       // calls that fitted then; 0 if it never was
+	shyTil    time.Duration // with no call there it is left alone until then
 }
 
 type message struct {
@@ -289,6 +295,7 @@
 // hangEnd gives back the slot of a call all of whose messages have their outcomes.
 func (s *Sender) hangEnd(c *call) {
 	s.busy--
+	c.ep.out--
 	d := c.ep.dest
 	for i, o := range d.calls {
 		if o == c {
--- a/choice/types.go
+++ b/choice/types.go
@@ -146,6 +146,7 @@
 	Took     time.Duration
 	Closed   bool          // the message is over
 	Kept     bool          // it went out on a connection that had been in use before
+	HungUp   bool          // the endpoint closed the connection after its answer
 	Wait     time.Duration // NoRoom: the wait told
 	NoSlot   bool          // Stale: all slots were taken
 	Report   Report
@@ -205,8 +206,11 @@
 // Probe sends a check.
 type Probe struct{ Endpoint string }
 
-// HangUp gives back idle connections.
-type HangUp struct{ Endpoint string }
+// HangUp gives back idle connections, all but Keep of them.
+type HangUp struct {
+	Endpoint string
+	Keep     int
+}
 
 // Wake asks for a Rang at a clock time.
 type Wake struct {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -53,6 +53,7 @@
 	closed  bool
 	report  choice.Report
 	kept    bool      // it went out on a kept connection
+	hungUp  bool      // the endpoint closes the connection after its answer
 	heard   time.Time // when its first line was read, if one was
 }
 
@@ -248,7 +249,9 @@
 	if err == nil && n > maxAnswerBody {
 		err = errors.New("the body is too large")
 	}
-	return outcome(resp), err == nil && !resp.Close && k.br.Buffered() == 0, err
+	res := outcome(resp)
+	res.hungUp = resp.Close
+	return res, err == nil && !resp.Close && k.br.Buffered() == 0, err
 }
 
 // outcome reads the protocol's table of answers.
@@ -362,15 +365,14 @@
 	}()
 }
 
-// hangUp closes the kept connections of an endpoint.
-func (p *pool) hangUp(id string) {
+// hangUp closes the kept connections of an endpoint, all but those keep that were used last.
+func (p *pool) hangUp(id string, keep int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, k := range p.idle[id] {
-		k.Close()
+	for len(p.idle[id]) > keep {
+		p.idle[id][0].Close()
+		p.drop(id, 0)
 	}
-	p.size -= len(p.idle[id])
-	delete(p.idle, id)
 }
 
 // close closes all kept connections.
@@ -382,6 +384,6 @@
 	}
 	p.mu.Unlock()
 	for _, id := range ids {
-		p.hangUp(id)
+		p.hangUp(id, 0)
 	}
 }
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -150,6 +150,8 @@
 		{"told to wait", "HTTP/1.1 429 No\r\nRetry-After: 0.35\r\nContent-Length: 0\r\n\r\n",
 			result{outcome: choice.NoRoom, wait: 350 * time.Millisecond}},
 		{"turned away", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", result{outcome: choice.NoRoom}},
+		{"turned away with its connection", "HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+			result{outcome: choice.NoRoom, hungUp: true}},
 		{"no slot", "HTTP/1.1 503 No\r\nX-Line-Busy: 1\r\nContent-Length: 0\r\n\r\n", result{outcome: choice.Stale, noSlot: true}},
 		{"all attempts used", "HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n", result{outcome: choice.Stale}},
 		{"over", "HTTP/1.1 410 No\r\nContent-Length: 0\r\n\r\n", result{outcome: choice.Stale, closed: true}},
@@ -292,11 +294,15 @@
 	p := newPartner(t, says(delivered))
 	pool, e := testPool(), endpointAt(p.addr())
 	pool.do(t.Context(), testCall(e))
-	pool.hangUp(e.id)
+	pool.hangUp(e.id, 0)
 	pool.do(t.Context(), testCall(e))
 	if calls, conns := p.counts(); calls != 2 || conns != 2 {
 		t.Errorf("%d calls on %d connections", calls, conns)
 	}
+	pool.hangUp(e.id, 1)
+	if keptBy(pool) != 1 {
+		t.Errorf("%d of one are kept", keptBy(pool))
+	}
 	pool.close()
 	if keptBy(pool) != 0 {
 		t.Error("connections are kept after close")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -430,7 +430,7 @@
 	if e != nil {
 		e.shut.Store(true)
 		delete(n.eps, e.id)
-		n.pool.hangUp(e.id)
+		n.pool.hangUp(e.id, 0)
 	}
 }
 
@@ -451,7 +451,7 @@
 	delete(n.out, e.attempt)
 	ended := choice.Ended{
 		ID: m.name(), Attempt: e.n, Endpoint: e.endpoint.id, Outcome: e.outcome, Took: e.took, Closed: e.closed,
-		Wait: e.wait, NoSlot: e.noSlot, Report: e.report, Kept: e.kept,
+		Wait: e.wait, NoSlot: e.noSlot, Report: e.report, Kept: e.kept, HungUp: e.hungUp,
 	}
 	ominous := n.sender.Ominous(m.dest, ended)
 	switch e.outcome {
@@ -494,7 +494,7 @@
 				}
 			})
 		case choice.HangUp:
-			n.pool.hangUp(a.Endpoint)
+			n.pool.hangUp(a.Endpoint, a.Keep)
 		case choice.Wake:
 			if n.wakeAt == 0 || a.At < n.wakeAt {
 				n.wakeAt = a.At
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -430,6 +430,27 @@
 	}
 }
 
+// A partner whose table of connections others fill refuses new ones and closes them. That is no limit, for which the
+// rests would grow to half a minute here: one connection is tried every now and then until there is room.
+func TestFullConnectionTable(t *testing.T) {
+	t.Parallel()
+	const refusals = 9
+	var conns atomic.Int32
+	p := newPartner(t, func(nc net.Conn, req *http.Request) bool {
+		if conns.Add(1) <= refusals {
+			says("HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")(nc, req)
+			return false
+		}
+		return says(delivered)(nc, req)
+	})
+	addr, _ := startNode(t, newRegistry(t), t.TempDir(), serving("e", p.addr(), 7, "SERVING"))
+	mustAnswer(t, addr, enqueue("a", ofStatus, ""), "+OK")
+	eventually(t, "it is delivered", func() bool {
+		calls, _ := p.counts()
+		return calls > refusals
+	})
+}
+
 func TestNoticeIsRetriedUntilTaken(t *testing.T) {
 	t.Parallel()
 	p, r := newPartner(t, says("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")), newRegistry(t)
