--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,8 +41,8 @@
 	roughWeight = 1.5 // a rough weight may be this many times too high
 
 	// Connections.
-	crowdedSpan = 30 * time.Second // idle ones are given back so long after a full table
-	roomGrow    = 2.0              // connections a second that are tried again there beyond those known to fit
+	crowdedSpan = 30 * time.Second // idle ones are given back so long after a sign of a full one
+	roomGrow    = 2.0              // calls a second that are tried there beyond those known to fit
 	wornSpan    = 10 * time.Second // kept connections are not trusted so long after one broke under a call
 
 	// Slots.
