--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -318,6 +318,7 @@
 type clients struct {
 	ln      net.Listener
 	room    chan struct{} // a place for each connection
+	keep    int           // of connections that are idle after a request at most; see rest
 	stop    chan struct{}
 	served  chan struct{} // closed when nothing more is accepted
 	classes []string
@@ -332,7 +333,7 @@
 
 func newClients(ln net.Listener, most int, classes []string, hand func(request) answer) *clients {
 	return &clients{
-		ln: ln, room: make(chan struct{}, max(most, 1)), stop: make(chan struct{}), served: make(chan struct{}),
+		ln: ln, room: make(chan struct{}, max(most, 1)), keep: max(most/3, 1), stop: make(chan struct{}), served: make(chan struct{}),
 		classes: classes, hand: hand, open: map[*session]bool{},
 	}
 }
@@ -377,16 +378,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range c.idle {
-		if e := c.idle[i].Front(); e != nil {
-			s := e.Value.(*session)
-			c.unplace(s)
-			s.SetReadDeadline(time.Unix(1, 0)) // not closed from here: see Read
+		if c.idle[i].Len() > 0 {
+			c.askBack(&c.idle[i])
 			return
 		}
 	}
 }
 
-// rest puts a session among the idle ones, and tells whether it may go on.
+// askBack ends the longest idle session of a list that holds one; the lock is held.
+func (c *clients) askBack(idle *queue.List) {
+	s := idle.Front().Value.(*session)
+	c.unplace(s)
+	s.SetReadDeadline(time.Unix(1, 0)) // not closed from here: see Read
+}
+
+// rest puts a session among the idle ones, and tells whether it may go on. Clients may have only so many connections
+// themselves: where most ask once and then keep theirs, all that they may open were idle ones here, and nobody could
+// hand anything in. So those idle longest go once there are more than keep. It guards as well against pools that
+// never shrink; clients that take turns on more connections than that pay with new ones.
 func (c *clients) rest(s *session) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -398,6 +407,9 @@
 		i = 1
 	}
 	s.place, s.looks = c.idle[i].PushBack(s), 0
+	if c.idle[1].Len() > c.keep {
+		c.askBack(&c.idle[1])
+	}
 	return true
 }
 
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -262,6 +262,36 @@
 	}
 }
 
+// Clients that ask once and keep their connection for good take no more than a share of what clients may open: those
+// idle longest are hung up on, and the latest stay of use.
+func TestIdleConnectionsAreBounded(t *testing.T) {
+	const most, keep = 30, 10
+	c, addr := serveTest(t, most, func(request) answer { return answer{} })
+	var readers []*bufio.Reader
+	var last net.Conn
+	for i := range 2 * keep {
+		nc, br := dialTest(t, addr)
+		io.WriteString(nc, enqueue("m"+itoa(i), "c=notice,d=8000,dest=7", "b"))
+		if line, err := br.ReadString('\n'); line != "+OK\r\n" {
+			t.Fatalf("client %d: %q, %v", i, line, err)
+		}
+		c.mu.Lock()
+		idle := c.idle[1].Len()
+		c.mu.Unlock()
+		if idle > keep {
+			t.Fatalf("%d are idle after client %d, %d at most", idle, i, keep)
+		}
+		readers, last = append(readers, br), nc
+	}
+	if _, err := readers[0].ReadByte(); err != io.EOF {
+		t.Errorf("the one idle longest: %v", err)
+	}
+	io.WriteString(last, resp("PING"))
+	if line, err := readers[len(readers)-1].ReadString('\n'); line != "+PONG\r\n" {
+		t.Errorf("the latest: %q, %v", line, err)
+	}
+}
+
 // A deadline is no reason to leave bytes unread that have come: they may be a whole request.
 func TestLastLook(t *testing.T) {
 	c, addr := serveTest(t, 1, func(request) answer { return answer{} })
