--- a/choice/choice.go
+++ b/choice/choice.go
@@ -815,38 +815,50 @@
 
 // preempt calls off calls that are out far longer than usual while no slot is free: silence, be it a few
 // destinations' or a lossy path's, must not stop delivery to all the others. A call whose messages may be
-// repeated goes first and at once; one that may not, only while slow destinations hold more than their share
-// of the slots, for it ends failed. Called-off work may be wasted; a full node would lose far more.
+// repeated goes first and at once. One that may not ends failed: if it is lost it goes while others wait for
+// its slot, for hardly one in thirty of these is answered after all, and each holds a slot for all its time;
+// if it is not, only while slow destinations hold more than their share of the slots. Called-off work may be
+// wasted; a full node would lose far more.
 func (s *Sender) preempt() {
 	if !s.cfg.MayCancel || s.cfg.Slots <= 0 || s.busy < s.cfg.Slots {
 		return
 	}
-	held, oldest, late := 0, (*call)(nil), 0.0
+	var repeatable, lost, slowest *call
+	held, late, waiting := 0, 1.0, false
 	for _, d := range s.active {
 		slow := s.slow(d)
+		waiting = waiting || len(d.waiting) > 0
 		for _, c := range d.calls {
 			if c.called {
 				return // its slot is about to come back
 			}
-			idle := slow || s.lost(c)
-			if idle {
+			if slow {
 				held++
 			}
 			patience := c.patience() * math.Pow(timeoutGrow, float64(c.ep.route.fails))
 			over := seconds(s.now-c.sentAt) / patience
-			if (c.repeatable && over > 1) || (!c.repeatable && idle && oldest == nil) {
-				if oldest == nil || (c.repeatable && (!oldest.repeatable || over > late)) {
-					oldest, late = c, over
-				}
+			switch {
+			case c.repeatable && over > late:
+				repeatable, late = c, over
+			case c.repeatable:
+			case s.lost(c):
+				lost = c
+			case slow && slowest == nil:
+				slowest = c
 			}
 		}
 	}
-	if oldest == nil || (!oldest.repeatable && float64(held) <= slowShare*float64(s.cfg.Slots)) {
-		return
+	switch {
+	case repeatable != nil:
+		s.callOff(repeatable)
+	case lost != nil && waiting:
+		s.callOff(lost)
+	case slowest != nil && float64(held) > slowShare*float64(s.cfg.Slots):
+		s.callOff(slowest)
 	}
-	s.callOff(oldest)
 }
 
+// callOff cancels a call.
 func (s *Sender) callOff(c *call) {
 	if c.called || !s.cfg.MayCancel {
 		return
--- a/choice/lost_test.go
+++ b/choice/lost_test.go
@@ -82,3 +82,40 @@
 		}
 	}
 }
+
+// With no slot free and others waiting, a lost call that may not be repeated gives its slot back. With a slot free, or
+// with nobody waiting, its answer may still come.
+func TestLostPayoutsGiveBackTheirSlots(t *testing.T) {
+	cfg := settings()
+	unsafe := slices.IndexFunc(cfg.Classes, func(c Class) bool { return c.Effect == Unsafe })
+	for _, c := range []struct {
+		name   string
+		others int
+		want   bool
+	}{{"a slot is free", cfg.Slots - 2, false}, {"nobody waits", cfg.Slots - 1, false}, {"one waits", cfg.Slots, true}} {
+		s, now := New(cfg, 1), time.Hour
+		s.Step(now, []Event{list(Entry{Endpoint: "a", Weight: 1000})})
+		arrive := func(id string, class int) Arrived {
+			return Arrived{ID: id, Class: class, DropDead: now + time.Minute}
+		}
+		s.Step(now, []Event{arrive("first", 0)})
+		s.Step(now+20*ms, []Event{Ended{ID: "first", Endpoint: "a", Took: 20 * ms}})
+		now += 30 * ms
+		s.Step(now, []Event{arrive("lost", unsafe)})
+		now += 10 * ms
+		s.Step(now, []Event{arrive("later", 0)})
+		now += 20 * ms
+		s.Step(now, []Event{Ended{ID: "later", Endpoint: "a", Took: 20 * ms}})
+		now += 2 * time.Second
+		called := false
+		for i := range c.others {
+			for _, a := range s.Step(now, []Event{arrive(fmt.Sprint("m", i), 0)}) {
+				cancel, ok := a.(Cancel)
+				called = called || (ok && cancel.ID == "lost")
+			}
+		}
+		if called != c.want {
+			t.Errorf("%s: called off is %v", c.name, called)
+		}
+	}
+}
