--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,7 +48,8 @@
 	// Slots.
 	slowFactor = 5                      // a call older than so many usual times makes its destination slow
 	slowLeast  = 700 * time.Millisecond // but not before this, or noise would
-	lostFactor = 10                     // at so many usual times an answer may have been lost, not just late
+	lostFactor = 10                     // at so many usual times an answer may have been lost, not just late,
+	lostLeast  = 350 * time.Millisecond // and not before this
 	slotSpan   = 2 * time.Second        // slot time fades from memory in this span
 	sendCharge = 10 * time.Millisecond  // slot time booked at once, so that sends of one moment take turns
 	slowShare  = 0.4                    // share of the slots that all slow destinations together may hold
@@ -757,7 +758,7 @@
 
 // overdue tells that a call has been out for so long that its answer is hardly to be counted on.
 func (s *Sender) overdue(c *call) bool {
-	return seconds(s.now-c.sentAt) > max(lostFactor*c.ep.usual, seconds(slowLeast))
+	return seconds(s.now-c.sentAt) > max(lostFactor*c.ep.usual, seconds(lostLeast))
 }
 
 // lost tells that a call is overdue though one sent later to the same endpoint has passed in the usual time:
@@ -837,11 +838,15 @@
 			}
 			patience := c.patience() * math.Pow(timeoutGrow, float64(c.ep.route.fails))
 			over := seconds(s.now-c.sentAt) / patience
+			gone := s.lost(c)
+			if gone {
+				over++ // first of all
+			}
 			switch {
 			case c.repeatable && over > late:
 				repeatable, late = c, over
 			case c.repeatable:
-			case s.lost(c):
+			case gone:
 				lost = c
 			case slow && slowest == nil:
 				slowest = c
--- a/choice/lost_test.go
+++ b/choice/lost_test.go
@@ -74,7 +74,7 @@
 	for _, c := range []struct {
 		after time.Duration
 		taken bool
-	}{{slowLeast - 100*ms, false}, {slowLeast + 100*ms, true}} {
+	}{{lostLeast - 100*ms, false}, {lostLeast + 100*ms, true}} {
 		id := c.after.String()
 		s.Step(now+c.after, []Event{Arrived{ID: id, DropDead: now + time.Minute}})
 		if (s.msgs[id] != nil) != c.taken {
@@ -84,15 +84,22 @@
 }
 
 // With no slot free and others waiting, a lost call that may not be repeated gives its slot back. With a slot free, or
-// with nobody waiting, its answer may still come.
-func TestLostPayoutsGiveBackTheirSlots(t *testing.T) {
+// with nobody waiting, its answer may still come. One that may be repeated goes for a full node alone.
+func TestLostCallsGiveBackTheirSlots(t *testing.T) {
 	cfg := settings()
 	unsafe := slices.IndexFunc(cfg.Classes, func(c Class) bool { return c.Effect == Unsafe })
 	for _, c := range []struct {
 		name   string
+		class  int
 		others int
 		want   bool
-	}{{"a slot is free", cfg.Slots - 2, false}, {"nobody waits", cfg.Slots - 1, false}, {"one waits", cfg.Slots, true}} {
+	}{
+		{"a slot is free", unsafe, cfg.Slots - 2, false},
+		{"nobody waits", unsafe, cfg.Slots - 1, false},
+		{"one waits", unsafe, cfg.Slots, true},
+		{"a slot is free, repeatable", 0, cfg.Slots - 2, false},
+		{"none is free, repeatable", 0, cfg.Slots - 1, true},
+	} {
 		s, now := New(cfg, 1), time.Hour
 		s.Step(now, []Event{list(Entry{Endpoint: "a", Weight: 1000})})
 		arrive := func(id string, class int) Arrived {
@@ -101,12 +108,12 @@
 		s.Step(now, []Event{arrive("first", 0)})
 		s.Step(now+20*ms, []Event{Ended{ID: "first", Endpoint: "a", Took: 20 * ms}})
 		now += 30 * ms
-		s.Step(now, []Event{arrive("lost", unsafe)})
+		s.Step(now, []Event{arrive("lost", c.class)})
 		now += 10 * ms
 		s.Step(now, []Event{arrive("later", 0)})
 		now += 20 * ms
 		s.Step(now, []Event{Ended{ID: "later", Endpoint: "a", Took: 20 * ms}})
-		now += 2 * time.Second
+		now += lostLeast + 50*ms
 		called := false
 		for i := range c.others {
 			for _, a := range s.Step(now, []Event{arrive(fmt.Sprint("m", i), 0)}) {
