Engine: further lives of undelivered messages, behind live traffic, and a keeper of them

Messages that end as failed vanished. An engine is now told of a keeper, which gets each such message with its attempts, body and waits before the end is written, and hears of answers that come late. A further life is journalled with its past in one record and goes to the decision module as spare: it asks the gate with trials of its own, is sent only where nothing else waits and half of the slots are free, and counts neither in the demand nor in the room for held messages.

Tests of choice, delivery, node, grpcdelivery and the conformance suite pass; the part has no user yet.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,6 +53,9 @@
 	slotSpan   = 2 * time.Second        // slot time fades from memory in this span
 	sendCharge = 10 * time.Millisecond  // slot time booked at once, so that sends of one moment take turns
 	slowShare  = 0.4                    // share of the slots that all slow destinations together may hold
+	// Spare messages take this share of the slots, while no more than half of them are taken, and so of a burst.
+	spareShare, spareRoom = 0.125, 0.5
+	spareTrial            = 2 * time.Second // pause between those that a shut gate lets through
 
 	// Pacing.
 	partCut     = 0.5                    // factor on this sender's part at a refusal over the limit
@@ -204,7 +207,7 @@
 	if s.msgs[e.ID] != nil {
 		return
 	}
-	m, d := s.take(e)
+	m, d := s.take(e, false)
 	if !s.admit(d, m) {
 		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(d)})
 		return
@@ -213,16 +216,18 @@
 }
 
 // take notes a new message and its demand on the destination.
-func (s *Sender) take(e Arrived) (*message, *destination) {
+func (s *Sender) take(e Arrived, spare bool) (*message, *destination) {
 	d := s.destination(e.Dest)
-	d.came, d.cameAt = d.rate(s.now)*seconds(demandSpan)+1, s.now
+	if !spare {
+		d.came, d.cameAt = d.rate(s.now)*seconds(demandSpan)+1, s.now
+	}
 	class := &Class{}
 	if e.Class >= 0 && e.Class < len(s.cfg.Classes) {
 		class = &s.cfg.Classes[e.Class]
 	}
 	m := &message{
 		id: e.ID, class: class, dest: d, arrived: s.now, dropDead: e.DropDead, worth: class.Worth,
-		born: e.DropDead - class.Deadline,
+		born: e.DropDead - class.Deadline, spare: spare,
 	}
 	m.aim = min(class.Aim+span(class.AimStretch*seconds(e.Hint)), max(class.Deadline, class.Aim))
 	if !s.inShare(e.Tenant) {
@@ -235,8 +240,15 @@
 // hold puts a message that was taken on among the waiting.
 func (s *Sender) hold(m *message, key string) {
 	s.open = append(s.open, m)
-	if m.class.Ordered && key != "" {
+	if m.class.Ordered {
 		m.key = key
+	}
+	if m.spare {
+		s.spares++
+		s.enqueue(m)
+		return
+	}
+	if m.key != "" {
 		s.lines[m.key] = append(s.lines[m.key], m)
 	}
 	s.enqueue(m)
@@ -254,7 +266,7 @@
 	if s.msgs[e.ID] != nil {
 		return
 	}
-	m, d := s.take(e.Arrived)
+	m, d := s.take(e.Arrived, e.Spare)
 	m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect != Safe
 	m.mayRun, m.zone = e.MayRun, e.Zone
 	late := m.touched && m.class.Effect == Keyed && s.now >= s.windowEnd(m)
@@ -262,6 +274,10 @@
 		s.giveUp(m)
 		return
 	}
+	if m.spare && !s.admitSpare(d, m) {
+		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(d)})
+		return
+	}
 	for _, ep := range d.endpoints {
 		if r := ep.route; e.Failed && !r.recovering() {
 			s.strike(r)
@@ -289,7 +305,7 @@
 // admit asks the gate, at arrival. Beside the paper's ratio stand two departures: the deadline bounds, and
 // a share of the room for held messages, since one backlog must not turn everybody else's messages away.
 func (s *Sender) admit(d *destination, m *message) bool {
-	if s.cfg.MaxOpen > 0 && len(d.waiting) > s.cfg.MaxOpen-len(s.open) {
+	if s.cfg.MaxOpen > 0 && len(d.waiting) > s.cfg.MaxOpen-len(s.open)+s.spares {
 		return false
 	}
 	if d.gate.accepts(d.gate.average, seconds(m.class.Deadline)) {
@@ -297,7 +313,7 @@
 	}
 	// Shut: with nobody held or out, a single trial message lets the ratio fall. Calls that are overdue don't
 	// count: one silent payout, out for all its time, kept the gate shut as long.
-	awaited := slices.ContainsFunc(d.calls, func(c *call) bool { return !s.overdue(c) })
+	awaited := slices.ContainsFunc(d.calls, func(c *call) bool { return !c.spare && !s.overdue(c) })
 	if len(d.waiting) == 0 && !awaited && s.now-d.lastTrial >= gateTrial {
 		d.lastTrial = s.now
 		return true
@@ -305,6 +321,15 @@
 	return false
 }
 
+// admitSpare asks the gate for a spare message. Its trials are its own, and don't use up those of the others.
+func (s *Sender) admitSpare(d *destination, m *message) bool {
+	open := d.gate.accepts(d.gate.average, seconds(m.class.Deadline))
+	if !open && len(d.spares) == 0 && s.now-d.lastSpare >= spareTrial {
+		d.lastSpare, open = s.now, true
+	}
+	return open
+}
+
 // accepts moves the gate between its bounds and tells whether it is open.
 func (g *gate) accepts(current, deadline float64) bool {
 	base := max(g.baseline, seconds(floorResponse))
@@ -413,6 +438,9 @@
 		case m.touched && m.out == 0 && m.class.Effect == Keyed && s.now >= s.windowEnd(m)-2*pollEvery:
 			s.giveUp(m) // soon it could neither be sent nor refused
 		}
+		if m.over && m.spare {
+			s.spares--
+		}
 		return m.over
 	})
 }
@@ -476,10 +504,13 @@
 // nothing of what a new one would meet, and the old backlog kept the gate shut for messages that could be
 // in time.
 func (s *Sender) sample(m *message, c *call, o Outcome, lone bool) {
-	if lone {
-		return
+	if lone || (m.spare && o != Pass) {
+		return // a spare one shuts the gate to nobody
 	}
 	sec := seconds(s.now - max(m.arrived, min(c.ep.route.coldFrom, c.sentAt)))
+	if m.spare {
+		sec = seconds(s.now - c.sentAt)
+	}
 	switch o {
 	case Pass:
 	case Stale, Undone:
@@ -884,35 +915,73 @@
 func (s *Sender) release() {
 	s.active = slices.DeleteFunc(s.active, func(d *destination) bool {
 		d.spend(s.now)
-		d.active = len(d.waiting)+len(d.calls) > 0
+		d.active = len(d.waiting)+len(d.spares)+len(d.calls) > 0
 		return !d.active
 	})
-	for {
-		var best *destination
-		var bestMsg *message
-		var bestEp *endpoint
-		if s.cfg.Slots > 0 && s.busy >= s.cfg.Slots {
-			return
-		}
-		for _, d := range s.active {
-			if len(d.waiting) == 0 || (best != nil && d.used >= best.used) {
-				continue
-			}
-			if m, ep := s.next(d); m != nil {
-				best, bestMsg, bestEp = d, m, ep
-			}
+	for s.releaseOne(s.next) || (s.lendable() && s.releaseOne(s.nextSpare)) {
+	}
+}
+
+// releaseOne sends the message that next finds for the destination whose turn it is.
+func (s *Sender) releaseOne(next func(*destination) (*message, *endpoint)) bool {
+	var best *destination
+	var bestMsg *message
+	var bestEp *endpoint
+	if s.cfg.Slots > 0 && s.busy >= s.cfg.Slots {
+		return false
+	}
+	for _, d := range s.active {
+		if best != nil && d.used >= best.used {
+			continue
 		}
-		if best == nil {
-			return
+		if m, ep := next(d); m != nil {
+			best, bestMsg, bestEp = d, m, ep
 		}
+	}
+	if best != nil {
 		s.send(best, bestMsg, bestEp)
 	}
+	return best != nil
+}
+
+// lendable tells that a slot is left for a spare message.
+func (s *Sender) lendable() bool {
+	slots := float64(s.cfg.Slots)
+	return slots <= 0 || (float64(s.busy) < spareRoom*slots && float64(s.lent) < max(1, spareShare*slots))
+}
+
+// nextSpare finds the spare message that a destination would release now. Nothing else must wait there, and a good
+// part of the pace stays for what may come. Where others come at all, trials and the way back are theirs.
+func (s *Sender) nextSpare(d *destination) (*message, *endpoint) {
+	if len(d.spares) == 0 || len(d.waiting) > 0 {
+		return nil, nil
+	}
+	seldom := d.rate(s.now)*seconds(sickSpan) < rareCalls
+	if s.lame(d) && (!seldom || len(d.calls) > 0) {
+		return nil, nil
+	}
+	for _, e := range d.endpoints {
+		s.refill(e.route)
+		rate, bound := s.pace(e.route)
+		if !seldom && (e.route.recovering() || (bound && e.route.tokens < max(1, spareRoom*burstSpan*rate))) {
+			return nil, nil
+		}
+	}
+	for _, m := range d.spares {
+		if ep := s.draw(m); ep != nil {
+			return m, ep
+		}
+	}
+	return nil, nil
 }
 
 // next finds the message a destination would release now, and its endpoint. The order is that of arrival,
 // unless the queue is so long that waiting costs worth: then the one that loses most by waiting as long
 // as the oldest has waited goes first.
 func (s *Sender) next(d *destination) (*message, *endpoint) {
+	if len(d.waiting) == 0 {
+		return nil, nil
+	}
 	if s.lame(d) && s.cfg.Slots > 0 && float64(s.lameHeld()) >= max(1, slowShare*float64(s.cfg.Slots)) {
 		return nil, nil
 	}
@@ -1025,7 +1094,7 @@
 		s.trimLine(m.key)
 		// Whoever had the turn before may try again without a rest.
 		line := s.lines[m.key]
-		if (s.now < s.rests[m.key] && m.attempts == 0) || (len(line) > 0 && line[0] != m) {
+		if (s.now < s.rests[m.key] && (m.attempts == 0 || m.spare)) || (len(line) > 0 && line[0] != m) {
 			return false
 		}
 	}
@@ -1043,11 +1112,17 @@
 // send sends a message and, where the kind allows, more of the destination's waiting ones in the same call.
 func (s *Sender) send(d *destination, m *message, e *endpoint) {
 	r := e.route
-	c := &call{ep: e, sentAt: s.now, trial: r.sick, repeatable: true}
+	c := &call{ep: e, sentAt: s.now, trial: r.sick, repeatable: true, spare: m.spare}
+	if m.spare {
+		s.lent++
+		if m.key != "" {
+			s.lines[m.key] = []*message{m} // check has found it empty
+		}
+	}
 	r.trial = r.trial || c.trial
 	group := []*message{m}
 	for _, o := range d.waiting {
-		if len(group) >= s.batch(d) || c.trial {
+		if len(group) >= s.batch(d) || c.trial || c.spare {
 			break
 		}
 		if o != m && s.check(o, e) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -25,6 +25,8 @@
 	wornTil time.Duration            // kept connections are not trusted until then
 	tenants []tenant
 	busy    int                 // calls out
+	spares  int                 // spare messages among the open
+	lent    int                 // calls out that are spare messages'
 	sent    map[attempt]sending // attempts without an outcome
 	active  []*destination      // with messages waiting or calls out; swept in release
 	wakeAt  time.Duration       // the earliest wake asked for
@@ -55,11 +57,13 @@
 	shared    *route // of all endpoints, unless they are routes apart
 	endpoints []*endpoint
 	waiting   []*message // in order of arrival
+	spares    []*message // the spare ones that wait
 	used      float64    // slot time it had of late, in seconds
 	usedAt    time.Duration
 	calls     []*call // out, oldest first
 	lastTrial time.Duration
-	came      float64 // messages that came of late, fading
+	lastSpare time.Duration // the last spare message that was let through a shut gate
+	came      float64       // messages that came of late, fading
 	cameAt    time.Duration
 	active    bool // stands in the sender's list of those with something to do
 }
@@ -135,6 +139,7 @@
 	notBefore time.Duration
 	waits     bool
 	over      bool
+	spare     bool // see Resumed
 }
 
 // attempt names one Send.
@@ -158,6 +163,7 @@
 	sends      []attempt
 	called     bool // called off
 	repeatable bool // none of its messages is unsafe
+	spare      bool
 }
 
 // do adds an action to the reply.
@@ -269,6 +275,14 @@
 		s.active = append(s.active, d)
 	}
 	m.waits = true
+	if m.spare {
+		if m.key != "" { // it holds its key's turn only while it is out
+			s.lines[m.key] = slices.DeleteFunc(s.lines[m.key], func(o *message) bool { return o == m })
+			s.trimLine(m.key)
+		}
+		d.spares = append(d.spares, m)
+		return
+	}
 	i := len(d.waiting)
 	for i > 0 && d.waiting[i-1].arrived > m.arrived {
 		i--
@@ -284,9 +298,13 @@
 		return
 	}
 	m.waits = false
-	for i, w := range d.waiting {
+	queue := &d.waiting
+	if m.spare {
+		queue = &d.spares
+	}
+	for i, w := range *queue {
 		if w == m {
-			d.waiting = append(d.waiting[:i], d.waiting[i+1:]...)
+			*queue = append((*queue)[:i], (*queue)[i+1:]...)
 			return
 		}
 	}
@@ -295,6 +313,9 @@
 // hangEnd gives back the slot of a call all of whose messages have their outcomes.
 func (s *Sender) hangEnd(c *call) {
 	s.busy--
+	if c.spare {
+		s.lent--
+	}
 	c.ep.out--
 	d := c.ep.dest
 	for i, o := range d.calls {
--- a/choice/types.go
+++ b/choice/types.go
@@ -135,6 +135,9 @@
 	Touched  bool          // one of them may have run,
 	MayRun   time.Duration // and the first of these was sent then,
 	Zone     int           // to an endpoint of this zone
+	// Spare says that it ended undelivered before and is sent again: the gate is asked, it goes only where nothing
+	// else waits, and it takes no room from the others.
+	Spare bool
 }
 
 // Ended is the one outcome of a Send.
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -22,6 +22,7 @@
 	maxBatch   = 256 // events in one Step
 	eventQueue = 1024
 	workerIdle = time.Second
+	maxAgain   = 64          // further lives at a time
 	byeTime    = time.Second // for the loop to let a waiter go; it takes longer only while the journal can't be written
 )
 
@@ -35,6 +36,8 @@
 	Known    List   // the endpoints as they were last known; taken as the whole list
 	// Members brings the list from then on; nil where it never changes.
 	Members Membership
+	// Keeper takes what ends undelivered; nil where nobody does.
+	Keeper Keeper
 	// LeaveAfter is for how long messages are still taken on and sent once the engine has been told to stop.
 	LeaveAfter time.Duration
 	Log        *slog.Logger // nil for none
@@ -103,7 +106,10 @@
 	out      map[attempt]outCall
 	eps      map[string]*Endpoint
 	waits    map[int]*atomic.Int64 // of destinations whose endpoints share them
-	held     int                   // messages without their final answer
+	held     int                   // messages without their final answer, further lives not counted
+	again    int                   // further lives
+	lost     []Lost                // for the keeper, before the next flush
+	late     []Ref                 // likewise
 	acts     []func()              // what the records that are not yet written guard, in order
 	wakeAt   time.Duration         // of the module; 0 none
 	calls    sync.WaitGroup
@@ -119,6 +125,7 @@
 	arrival struct {
 		Message
 		front *front
+		life  *Life       // of a further life
 		reply chan Answer // whether it was taken on; one of the two is given
 		end   chan End    // its end, or the refusal; takes one without blocking
 	}
@@ -172,6 +179,7 @@
 		return nil, err
 	}
 	n.journal = j
+	j.detail = cfg.Keeper != nil
 	if err := n.check(); err != nil {
 		n.closeAll()
 		return nil, err
@@ -318,22 +326,44 @@
 			}
 			continue
 		}
-		n.held++
+		*n.count(p)++
 		events = append(events, n.resumed(p))
 	}
 	if len(n.messages) > 0 {
-		n.log.Info("journal replayed", "resumed", n.held, "ends", ended)
+		n.log.Info("journal replayed", "resumed", n.held+n.again, "ends", ended)
 	}
 	return events
 }
 
+// count is the number that a message counts in.
+func (n *Engine) count(p *past) *int {
+	if p.again() {
+		return &n.again
+	}
+	return &n.held
+}
+
+// Owed returns what the journal owes an end. It is for who has to know before Run.
+func (n *Engine) Owed() []Owed {
+	var all []Owed
+	for _, p := range n.journal.live {
+		if p.ended == nil {
+			all = append(all, Owed{p.ref(), p.again()})
+		}
+	}
+	return all
+}
+
 func newEnd(p *past) End {
 	return End{ID: p.id, State: p.ended.state, After: p.ended.after, Code: p.ended.code, Err: p.lastErr, of: p}
 }
 
 // resumed tells the module of a message's past. An attempt that is not proven not to have run may have.
 func (n *Engine) resumed(p *past) choice.Resumed {
-	r := choice.Resumed{Arrived: n.arrived(p, p.deadline), Attempts: len(p.sends)}
+	r := choice.Resumed{Arrived: n.arrived(p, p.deadline), Attempts: len(p.sends), Spare: p.again()}
+	if !p.mayRun.IsZero() {
+		r.Touched, r.MayRun, r.Zone = true, n.at(p.mayRun), p.mayZone
+	}
 	for _, s := range p.sends {
 		r.Failed = r.Failed || s.failed
 		if !s.notRun && !r.Touched {
@@ -365,7 +395,25 @@
 	if f == nil {
 		return Answer{Failed: ErrUnknownFront.Error()}
 	}
-	a := arrival{Message: m, front: f, reply: make(chan Answer, 1)}
+	return n.submit(arrival{Message: m, front: f, reply: make(chan Answer, 1)})
+}
+
+// Resend hands in a further life of a message that ended undelivered, and waits to hear whether it is taken on. It is
+// sent where nothing else waits, and only if the decisions allow it with the past that it is given. It is refused, too,
+// while the engine has a message of this ID or many further lives. Its end goes to the Keeper alone.
+func (n *Engine) Resend(front string, l Life) Answer {
+	f := n.fronts[front]
+	if f == nil {
+		return Answer{Failed: ErrUnknownFront.Error()}
+	}
+	if l.First.IsZero() {
+		l.First = l.Came.Add(l.Message.Life)
+	}
+	l.Keep = false
+	return n.submit(arrival{Message: l.Message, front: f, life: &l, reply: make(chan Answer, 1)})
+}
+
+func (n *Engine) submit(a arrival) Answer {
 	select {
 	case n.events <- a:
 	case <-n.over:
@@ -591,7 +639,11 @@
 		case choice.Leaving:
 			events = append(events, e)
 		case arrival:
-			if p := n.accept(e, fresh); p != nil {
+			switch p := n.accept(e, fresh); {
+			case p == nil:
+			case p.again():
+				events = append(events, n.resumed(p))
+			default:
 				events = append(events, n.arrived(p, e.Came.Add(e.Life)))
 			}
 		case forsaken:
@@ -602,11 +654,14 @@
 		}
 	}
 	// What the module is about to be told of, and the clients with it, rests on these records.
-	if err := n.journal.flush(); err != nil && len(fresh) > 0 {
+	if err := n.flush(); err != nil && len(fresh) > 0 {
 		n.log.Error("messages turned away", "err", err)
 		events = slices.DeleteFunc(events, func(e choice.Event) bool {
-			_, isNew := e.(choice.Arrived)
-			return isNew
+			switch e.(type) {
+			case choice.Arrived, choice.Resumed:
+				return true
+			}
+			return false
 		})
 		for seq, all := range fresh {
 			n.forget(n.journal.live[seq])
@@ -651,6 +706,11 @@
 func (n *Engine) accept(a arrival, fresh newcomers) *past {
 	name := ref(a.front.Name, a.ID)
 	p := n.messages[name]
+	if (p != nil && (p.again() || a.life != nil)) || (a.life != nil && n.again >= maxAgain) {
+		// A further life and a new message of its ID don't meet, or one's end could be taken for the other's.
+		a.answer(n.turnAway(a))
+		return nil
+	}
 	switch {
 	case p != nil && a.end != nil && p.ended != nil: // it has ended before, and says the same again
 		end := newEnd(p)
@@ -677,12 +737,16 @@
 	case !n.sender.Knows(a.Dest):
 		a.answer(Answer{Failed: "unknown destination"})
 		return nil
-	case n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
+	case a.life == nil && n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
 		a.answer(n.turnAway(a))
 		return nil
 	}
-	p, err := n.journal.accept(&past{id: a.ID, key: a.Key, class: a.Class, dest: a.Dest, body: a.Body,
-		deadline: a.Came.Add(a.Life), front: a.front.Name, keep: a.Keep})
+	p = &past{id: a.ID, key: a.Key, class: a.Class, dest: a.Dest, body: a.Body,
+		deadline: a.Came.Add(a.Life), front: a.front.Name, keep: a.Keep}
+	if a.life != nil {
+		p.first, p.mayRun, p.mayZone = a.life.First, a.life.MayRun, a.life.Zone
+	}
+	p, err := n.journal.accept(p)
 	if err != nil {
 		a.answer(n.turnAway(a))
 		return nil
@@ -691,7 +755,7 @@
 		p.waiters = append(p.waiters, a.end)
 	}
 	n.messages[name] = p
-	n.held++
+	*n.count(p)++
 	fresh[p.seq] = []arrival{a}
 	return p
 }
@@ -708,7 +772,7 @@
 		return
 	}
 	if p.ended == nil {
-		n.held--
+		*n.count(p)--
 	}
 	delete(n.messages, name)
 	n.journal.add(record(recOver, p.seq))
@@ -786,6 +850,16 @@
 		m.lastErr = e.Err
 	}
 	outcome := e.outcome()
+	if e.n < len(m.sends) { // the journal keeps none of a message that has ended
+		s := &m.sends[e.n]
+		s.known, s.outcome, s.notRun = true, outcome, s.notRun || notRun(outcome)
+		if e.Err != nil {
+			s.err = e.Err.Error()
+		}
+	}
+	if e.Wait > 0 {
+		m.wait = time.Now().Add(e.Wait)
+	}
 	ended := choice.Ended{
 		ID: m.name(), Attempt: e.n, Endpoint: e.endpoint.ID, Outcome: outcome, Took: e.took, Closed: e.Closed,
 		Wait: e.Wait, NoSlot: e.NoSlot, Report: e.Report, Kept: e.Kept, HungUp: e.HungUp,
@@ -803,8 +877,11 @@
 			n.journal.add(outcomeRecord(recFailed, e.seq, e.n))
 		}
 	}
-	if e.Closed && m.ended == nil {
+	switch {
+	case e.Closed && m.ended == nil:
 		n.done(m, e.Result)
+	case e.Closed && outcome == choice.Pass && !e.Refused && n.cfg.Keeper != nil && m.ended.state != Delivered:
+		n.late = append(n.late, m.ref())
 	}
 	if e.Wait > 0 {
 		e.endpoint.Wait(time.Now().Add(e.Wait))
@@ -830,6 +907,8 @@
 	f := n.fronts[p.front]
 	waiters := p.waiters
 	p.waiters = nil
+	n.note(p, e)
+	wanted = wanted && !p.again()
 	// A sink hears of what did not get through; without one all ends are kept.
 	owed := wanted && (f.Sink == nil || e.state == Returned || e.state == Failed)
 	if p.keep || (owed && len(waiters) == 0) {
@@ -854,6 +933,57 @@
 	})
 }
 
+// note tells the keeper of an end before it is written.
+func (n *Engine) note(p *past, e ending) {
+	switch {
+	case n.cfg.Keeper == nil:
+	case p.again() && e.state == Delivered:
+		n.late = append(n.late, p.ref())
+	case p.again() || e.state == Failed:
+		n.lost = append(n.lost, n.lostOf(p, e))
+	}
+}
+
+func (n *Engine) lostOf(p *past, e ending) Lost {
+	now := time.Now()
+	l := Lost{Ref: p.ref(), Key: p.key, Class: p.class, Dest: p.dest, Body: p.body, State: e.state, Code: e.code,
+		Due: p.deadline, Ended: now, Wait: p.wait, Again: p.again()}
+	if w := n.waits[p.dest]; w != nil {
+		if until := time.Unix(0, w.Load()); until.After(l.Wait) {
+			l.Wait = until
+		}
+	}
+	if !l.Wait.After(now) {
+		l.Wait = time.Time{}
+	}
+	for _, s := range p.sends {
+		l.Tried = append(l.Tried, Tried{s.at, s.endpoint, s.zone, s.outcome, s.known, s.notRun, s.err})
+	}
+	return l
+}
+
+// flush hands the keeper what it is to have, and then writes the journal's records.
+func (n *Engine) flush() error {
+	if len(n.lost) > 0 {
+		if err := n.cfg.Keeper.Keep(n.lost); err != nil {
+			for _, l := range n.lost {
+				n.log.Error("an undelivered message is not kept", "front", l.Front, "id", l.ID, "class", l.Class,
+					"destination", l.Dest, "state", l.State, "attempts", len(l.Tried), "err", err)
+			}
+		}
+		n.lost = nil
+	}
+	if len(n.late) > 0 {
+		if err := n.cfg.Keeper.Delivered(n.late); err != nil {
+			for _, r := range n.late {
+				n.log.Error("a late delivery is not kept", "front", r.Front, "id", r.ID, "err", err)
+			}
+		}
+		n.late = nil
+	}
+	return n.journal.flush()
+}
+
 // step lets the module decide and carries out what it says, in order, once the records are written that guard
 // it. fresh are the messages whose clients still wait to hear whether they are taken on.
 func (n *Engine) step(ctx context.Context, events []choice.Event, fresh newcomers) {
@@ -886,7 +1016,7 @@
 	for seq := range fresh { // not refused, so taken on
 		n.acts = append(n.acts, func() { fresh.reply(seq, Answer{}) })
 	}
-	if err := n.journal.flush(); err != nil {
+	if err := n.flush(); err != nil {
 		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
 		return
 	}
@@ -936,8 +1066,11 @@
 		e = NewEndpoint(a.Endpoint, "")
 		e.Close()
 	}
-	name, now := attempt{p.seq, len(p.sends)}, time.Now()
-	n.journal.add(attemptRecord(p.seq, now, e.zone))
+	name, now, endpoint := attempt{p.seq, len(p.sends)}, time.Now(), ""
+	if n.journal.detail {
+		endpoint = e.ID
+	}
+	n.journal.add(attemptRecord(p.seq, now, e.zone, endpoint))
 	c := Attempt{ID: p.id, Key: p.key, Class: p.class, Dest: p.dest, Body: p.body, Endpoint: e,
 		NotPast: n.wall(a.NotPast), Fresh: a.Fresh, Number: name.n}
 	carrier := n.fronts[p.front].Carrier
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"starlingusher/choice"
 )
 
 // The journal is one file of records, appended only. A record is its payload's length and CRC-32, four bytes
@@ -26,6 +28,7 @@
 	recEnded                      // the final answer, whose notice is still owed
 	recOver                       // nothing is owed any more
 	recTurnedAway                 // an attempt did not run, and its destination is well
+	recAgain                      // a further life was taken on; older builds pass it over
 )
 
 // MaxBody is how many bytes a message's body holds at most.
@@ -40,6 +43,7 @@
 	minCompact     = 256 << 10 // a smaller file is not worth compacting
 	defaultDiskMB  = 3
 	compactPause   = 100 * time.Millisecond // after a failed compaction
+	lentShare      = 8                      // of the budget, one part in so many is for further lives
 )
 
 var (
@@ -60,16 +64,39 @@
 	sends    []pastSend
 	ended    *ending
 
-	// Of this life only.
+	// A further life: the deadline of the first, and the first attempt in any that may have run.
+	first   time.Time // zero in a first life
+	mayRun  time.Time // zero for none
+	mayZone int
+
+	// Of this process only.
 	waiters []chan End // of those who handed it in and wait for its end
 	lastErr error      // what its last attempt met
+	wait    time.Time  // until when its destination asked to be left alone, as its attempts were told
+}
+
+// again tells that it is a further life.
+func (p *past) again() bool { return !p.first.IsZero() }
+
+// ref names the message across its lives.
+func (p *past) ref() Ref {
+	if p.again() {
+		return Ref{p.front, p.id, p.first}
+	}
+	return Ref{p.front, p.id, p.deadline}
 }
 
 // pastSend is an attempt. One that has not failed was out when the journal ended, and may have run as well.
 type pastSend struct {
 	at             time.Time
 	zone           int
+	endpoint       string // if that is noted
 	notRun, failed bool
+
+	// Of this process only.
+	known   bool
+	outcome choice.Outcome
+	err     string
 }
 
 // ending is the final answer of a message.
@@ -105,6 +132,8 @@
 	written int64 // good bytes in the file
 	live    map[uint64]*past
 	held    int64  // sum of the sizes of what is live
+	lent    int64  // the part of it that further lives take
+	detail  bool   // attempts are noted with their endpoints
 	pending []byte // records not yet in the file
 	next    uint64
 	broken  bool // the file lacks records of what is live; only a new file will do
@@ -234,7 +263,7 @@
 	seq := f.number()
 	j.next = max(j.next, seq+1)
 	p := j.live[seq]
-	if p == nil && payload[0] != recAccepted {
+	if p == nil && payload[0] != recAccepted && payload[0] != recAgain {
 		return
 	}
 	switch payload[0] {
@@ -249,8 +278,22 @@
 			j.live[seq] = p
 			j.held += p.size()
 		}
+	case recAgain:
+		p = &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
+			deadline: f.time(), body: f.bytes(), front: string(f.bytes()), first: f.time()}
+		if f.number() == 1 {
+			p.mayRun, p.mayZone = f.time(), int(f.number())
+		}
+		if !f.bad {
+			j.live[seq] = p
+			j.held += p.size()
+			j.lent += p.size()
+		}
 	case recAttempt:
 		s := pastSend{at: f.time(), zone: int(f.number())}
+		if len(f.b) > 0 {
+			s.endpoint = string(f.bytes())
+		}
 		if !f.bad {
 			p.sends = append(p.sends, s)
 		}
@@ -278,6 +321,9 @@
 		}
 	case recOver:
 		j.held -= p.size()
+		if p.again() {
+			j.lent -= p.size()
+		}
 		delete(j.live, seq)
 	}
 }
@@ -312,8 +358,33 @@
 	return binary.AppendUvarint(b, keep)
 }
 
-func attemptRecord(seq uint64, at time.Time, zone int) []byte {
-	return binary.AppendUvarint(appendTime(record(recAttempt, seq), at), uint64(zone))
+func againRecord(p *past) []byte {
+	b := record(recAgain, p.seq)
+	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
+	b = appendBytes(appendBytes(appendTime(b, p.deadline), p.body), []byte(p.front))
+	b = appendTime(b, p.first)
+	if p.mayRun.IsZero() {
+		return append(b, 0)
+	}
+	return binary.AppendUvarint(appendTime(append(b, 1), p.mayRun), uint64(p.mayZone))
+}
+
+// takenRecord is what a message is taken on by.
+func takenRecord(p *past) []byte {
+	if p.again() {
+		return againRecord(p)
+	}
+	return acceptedRecord(p)
+}
+
+// attemptRecord names the endpoint if it is given.
+func attemptRecord(seq uint64, at time.Time, zone int, endpoint string) []byte {
+	b := binary.AppendUvarint(appendTime(record(recAttempt, seq), at), uint64(zone))
+	if endpoint != "" {
+		b = appendBytes(b, []byte(endpoint))
+	}
+	return b
 }
 
 // outcomeRecord is of recNotRun, recTurnedAway or recFailed.
@@ -339,8 +410,11 @@
 	if 2*(j.held+p.size())+int64(len(j.pending)) > j.budget {
 		return nil, errDiskBudget
 	}
+	if p.again() && j.lent+p.size() > j.budget/lentShare {
+		return nil, errDiskBudget
+	}
 	p.seq = j.next
-	j.add(acceptedRecord(p))
+	j.add(takenRecord(p))
 	return j.live[p.seq], nil
 }
 
@@ -395,9 +469,9 @@
 		size += int64(n)
 	}
 	for _, p := range j.live {
-		put(acceptedRecord(p))
+		put(takenRecord(p))
 		for i, s := range p.sends {
-			put(attemptRecord(p.seq, s.at, s.zone))
+			put(attemptRecord(p.seq, s.at, s.zone, s.endpoint))
 			switch {
 			case s.notRun && s.failed:
 				put(outcomeRecord(recNotRun, p.seq, i))
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -59,6 +59,11 @@
 	return r.Outcome
 }
 
+// notRun tells that an outcome proves that nothing ran.
+func notRun(o choice.Outcome) bool {
+	return o == choice.NoRoom || o == choice.NoRoute || o == choice.Stale
+}
+
 // Carrier makes attempts. Its methods may be called by many goroutines at a time.
 type Carrier interface {
 	// Attempt makes one attempt and returns when its slot is free again: at the answer, or when the call is given up
@@ -152,6 +157,63 @@
 	Leave func()
 }
 
+// Ref names a message across its lives: ids may come again, with another deadline.
+type Ref struct {
+	Front, ID string
+	Deadline  time.Time // of its first life; to the microsecond
+}
+
+// Tried is one attempt that was made.
+type Tried struct {
+	At       time.Time
+	Endpoint string // empty if the attempt was made by a build that did not note it
+	Zone     int
+	Outcome  choice.Outcome // if Known
+	Known    bool           // false for one whose process ended, or whose call is still out
+	NotRun   bool           // proven not to have run, and never to run
+	Err      string         // what it met, in words
+}
+
+// Lost is a message that ends undelivered, with all that is known of it.
+type Lost struct {
+	Ref
+	Key         string
+	Class, Dest int
+	Body        []byte // must not be changed
+	State       State
+	Code        int // Refused: the partner's own number for why
+	Due, Ended  time.Time
+	Tried       []Tried   // in this life
+	Wait        time.Time // until when its destination asked to be left alone; zero if it did not
+	Again       bool      // it was a further life, by Engine.Resend
+}
+
+// Keeper takes the messages that end undelivered: those that end as Failed, and each further life that does not end as
+// Delivered. The engine calls it from one goroutine and waits for it. It is called before the end is written, so that
+// a kill in between leaves the message with the keeper and with the engine, and the next end comes as another Keep of
+// the same Ref. An error is logged; nothing waits for it.
+type Keeper interface {
+	// Keep takes messages.
+	Keep([]Lost) error
+	// Delivered says that messages which were kept are delivered after all: by a further life, or by an answer that
+	// came after the end.
+	Delivered([]Ref) error
+}
+
+// Owed is a message that the journal owes an end.
+type Owed struct {
+	Ref
+	Again bool // a further life of it
+}
+
+// Life is a further life of a message that ended undelivered.
+type Life struct {
+	Message           // Came and Life are those of this life
+	First   time.Time // the deadline of the first one
+	MayRun  time.Time // when the first attempt was made that may have run; zero for none
+	Zone    int       // of its endpoint
+}
+
 // Endpoint is what attempts need to know of one. It may be used by many goroutines at a time.
 type Endpoint struct {
 	ID   string
--- a/undelivered/rules/rules.go
+++ b/undelivered/rules/rules.go
@@ -17,17 +17,20 @@
 
 // Class is what rules need to know of a class of messages.
 type Class struct {
-	Name   string
-	Effect choice.Effect
-	Window time.Duration // Keyed: for how long the destination drops repeats, at least
+	Name    string
+	Effect  choice.Effect
+	Window  time.Duration // Keyed: for how long the destination drops repeats, at least
+	Ordered bool          // messages with one key take turns
 }
 
 // Attempt is one that was made in any life of a message.
 type Attempt struct {
-	At       time.Time
-	Endpoint string
-	Outcome  choice.Outcome
-	NotRun   bool // proven not to have run, and never to run
+	At       time.Time `json:"at"`
+	Endpoint string    `json:"endpoint,omitempty"`
+	Zone     int       `json:"zone"`
+	Outcome  string    `json:"outcome,omitempty"` // in words; empty where it was not seen
+	Err      string    `json:"error,omitempty"`   // what it met
+	NotRun   bool      `json:"not_run"`           // proven not to have run, and never to run
 }
 
 // Reason is why a message ended undelivered.
@@ -39,14 +42,16 @@
 	MayHaveRun  Reason = "may-have-run" // it must not be sent again, or not any more
 	OutOfTries  Reason = "out-of-tries" // it has had all its attempts
 	Interrupted Reason = "interrupted"  // its process ended with an attempt out
+	Refused     Reason = "refused"      // the partner has answered a further life that it will not do it
 )
 
-var reasons = []Reason{OutOfTime, MayHaveRun, OutOfTries, Interrupted}
+var reasons = []Reason{OutOfTime, MayHaveRun, OutOfTries, Interrupted, Refused}
 
 // Entry is an undelivered message.
 type Entry struct {
 	Number   uint64 // of the entry; lower ones are older
 	Class    Class
+	Key      string
 	Dest     int
 	Reason   Reason
 	Ended    time.Time // of its last life
@@ -55,6 +60,17 @@
 	Wait     time.Time // until when the partner asked to be left alone
 	Out      bool      // a life of it is under way
 	Decided  bool      // a person has decided on it
+	Granted  bool      // a person has decided that it is sent again
+}
+
+// MayHaveRun returns the first of the attempts that may have run.
+func (e *Entry) MayHaveRun() (a Attempt, any bool) {
+	for _, b := range e.Attempts {
+		if !b.NotRun && (!any || b.At.Before(a.At)) {
+			a, any = b, true
+		}
+	}
+	return a, any
 }
 
 // mayHaveRun returns when the first and the last of the attempts began that may have run.
@@ -96,6 +112,12 @@
 	if e.Decided {
 		return Settled, time.Time{}, "a person has decided"
 	}
+	if e.Reason == Refused {
+		return Person, time.Time{}, "the partner has refused it"
+	}
+	if e.Class.Ordered && e.Key != "" {
+		return Person, time.Time{}, "a later message of its key may have overtaken it"
+	}
 	first, last, touched := e.mayHaveRun()
 	if !touched {
 		return Free, time.Time{}, "no attempt has run"
@@ -181,6 +203,12 @@
 // Judge says what is to be done with an entry now. last is when a resend last went to its destination.
 func (s *Set) Judge(e *Entry, last, now time.Time) Verdict {
 	standing, until, why := Stand(e, now)
+	if e.Granted && standing != Settled {
+		if e.Wait.After(now) {
+			return Verdict{At: e.Wait, Why: "the partner asked to be left alone"}
+		}
+		return Verdict{Send: true, Why: "a person has decided so"}
+	}
 	switch standing {
 	case Settled:
 		return Verdict{Why: why}
