Undelivered messages are kept, decided on and sent again beside a running node

A recovery service is now the engine's keeper, hands entries back by rule or by a person's word, and answers 'coralyard undelivered' over a socket of mode 0600 or on a stopped node's folder. It is on where CORALYARD_UNDELIVERED names a file of rules. What the store can't take waits in memory; a store that can't be read is left as it is and another is begun. Tests brought four faults to light, all mended: destinations that were sick and idle got no resend for half a minute, lives that had no turn used up tries, the age of an entry began anew with each life, and a mark without an end counted as if nothing had run.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -956,7 +956,7 @@
 	if len(d.spares) == 0 || len(d.waiting) > 0 {
 		return nil, nil
 	}
-	seldom := d.rate(s.now)*seconds(sickSpan) < rareCalls
+	seldom := s.now-d.cameAt >= sickSpan
 	if s.lame(d) && (!seldom || len(d.calls) > 0) {
 		return nil, nil
 	}
--- a/choice/types.go
+++ b/choice/types.go
@@ -136,7 +136,7 @@
 	MayRun   time.Duration // and the first of these was sent then,
 	Zone     int           // to an endpoint of this zone
 	// Spare says that it ended undelivered before and is sent again: the gate is asked, it goes only where nothing
-	// else waits, and it takes no room from the others.
+	// else waits, and it takes no room from the others. A PushBack before its first Send says nothing of its past.
 	Spare bool
 }
 
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -17,12 +18,16 @@
 	"github.com/alecthomas/kong"
 
 	"starlingusher/daemon"
+	"starlingusher/delivery"
 	"starlingusher/internal/demo"
+	"starlingusher/undelivered/recovery"
+	"starlingusher/undelivered/rules"
 )
 
 // tool is the command line. Without arguments the program is the node, and none of this is looked at.
 type tool struct {
-	Demo demoCommand `cmd:"" help:"Run a node with three stand-in partners in a temporary folder, and show what becomes of some messages."`
+	Demo        demoCommand        `cmd:"" help:"Run a node with three stand-in partners in a temporary folder, and show what becomes of some messages."`
+	Undelivered undeliveredCommand `cmd:"" help:"Look at undelivered messages, decide on them and send them again."`
 }
 
 type demoCommand struct {
@@ -49,7 +54,10 @@
 	if len(os.Args) > 1 {
 		k := kong.Parse(&tool{}, kong.Name("coralyard"), kong.Description(
 			"A delivery node for messages to partner systems. Without arguments it is the node, as its environment tells it."))
-		k.FatalIfErrorf(k.Run())
+		if err := k.Run(); err != nil {
+			fmt.Fprintln(os.Stderr, "coralyard:", err)
+			os.Exit(exitCode(err))
+		}
 		return
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -73,27 +81,75 @@
 		// About half of the limit: sockets' buffers, stacks and the journal's two files count against it as well.
 		debug.SetMemoryLimit(int64(max((mb-cfg.Limits.DiskMB)/2, mb/4) * (1 << 20)))
 	}
-	d, err := daemon.Open(cfg, log.With("node", cfg.Name))
+	log = log.With("node", cfg.Name)
+	again, err := openRecovery(cfg, log)
+	if err != nil {
+		return err
+	}
+	var keeper delivery.Keeper
+	if again != nil {
+		keeper = again
+		defer again.Close()
+	}
+	d, err := daemon.OpenKeeping(cfg, log, keeper)
 	if err != nil {
 		return err
 	}
+	if again != nil {
+		if err := again.Start(d.Engine()); err != nil {
+			return errors.Join(err, d.Close())
+		}
+		life, end := context.WithCancel(ctx)
+		var recovering sync.WaitGroup
+		recovering.Go(func() { again.Run(life) })
+		defer recovering.Wait() // before the store is closed
+		defer end()
+	}
 	done := make(chan struct{})
 	var reloads sync.WaitGroup
-	reloads.Go(func() { reload(log, hup, done, d) })
+	reloads.Go(func() { reload(log, hup, done, d, again) })
 	defer reloads.Wait()
 	defer close(done)
 	return d.Run(ctx)
 }
 
-// reload reads the configuration again at each SIGHUP, and moves the node to what it names as discovery. What
-// can't be read changes nothing.
-func reload(log *slog.Logger, hup <-chan os.Signal, done <-chan struct{}, d *daemon.Daemon) {
+// openRecovery opens what keeps undelivered messages, if the operators have named a file for it. A store that can't be
+// had stops no delivery; a file of rules that can't be taken stops the start, as the configuration does.
+func openRecovery(cfg daemon.Config, log *slog.Logger) (*recovery.Service, error) {
+	file := os.Getenv(undeliveredVariable)
+	if file == "" {
+		return nil, nil
+	}
+	s, err := recovery.Open(recovery.Options{
+		Folder: cfg.State, Rules: file, Settings: cfg.Settings, Names: cfg.Names.Classes, Log: log,
+	})
+	var inFile *rules.FileError
+	switch {
+	case errors.As(err, &inFile), errors.Is(err, os.ErrNotExist):
+		return nil, err
+	case err != nil:
+		log.Error("undelivered messages are not kept", "err", err)
+		return nil, nil
+	}
+	return s, nil
+}
+
+// reload reads the configuration again at each SIGHUP, and moves the node to what it names as discovery; it has the
+// rules for undelivered messages read again as well. What can't be read changes nothing.
+func reload(log *slog.Logger, hup <-chan os.Signal, done <-chan struct{}, d *daemon.Daemon, again *recovery.Service) {
 	for {
 		select {
 		case <-done:
 			return
 		case <-hup:
 		}
+		if again != nil {
+			if err := again.Reload(); err != nil {
+				log.Error("the old rules for undelivered messages stay", "err", err)
+			} else {
+				log.Info("rules for undelivered messages read again")
+			}
+		}
 		cfg, err := daemon.Load(os.Getenv("ROUTER_CONFIG"), os.Getenv("ROUTER_STATE"))
 		if err != nil {
 			log.Error("the old configuration stays", "err", err)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,7 +28,12 @@
 // Open opens the state folder and listens. Further fronts share the engine, and with it each partner's rate, waits,
 // cold starts and slots. Run has to be called next, or Close.
 func Open(cfg Config, log *slog.Logger, further ...delivery.Front) (*Daemon, error) {
-	n, err := node.New(cfg, log, further...)
+	return OpenKeeping(cfg, log, nil, further...)
+}
+
+// OpenKeeping is Open with a keeper of what ends undelivered.
+func OpenKeeping(cfg Config, log *slog.Logger, keeper delivery.Keeper, further ...delivery.Front) (*Daemon, error) {
+	n, err := node.New(cfg, log, keeper, further...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,8 +27,9 @@
 	clients *clients
 }
 
-// New loads the journal. Further fronts share the node's engine, and with it each partner's rate, waits and slots.
-func New(cfg Config, log *slog.Logger, further ...delivery.Front) (*Node, error) {
+// New loads the journal. Further fronts share the node's engine, and with it each partner's rate, waits and slots. A
+// keeper, if there is one, takes what ends undelivered.
+func New(cfg Config, log *slog.Logger, keeper delivery.Keeper, further ...delivery.Front) (*Node, error) {
 	n := &Node{cfg: cfg, log: log, agent: newAgent(cfg.Discovery, cfg.Known.Revision, cfg.Names, log)}
 	own := delivery.Front{
 		Name: Front, Sink: n.agent, Leave: func() { n.clients.close() },
@@ -36,7 +37,7 @@
 	}
 	var err error
 	engine := cfg.Engine()
-	engine.Members, engine.LeaveAfter, engine.Log = n.agent, leaveAfter, log
+	engine.Members, engine.LeaveAfter, engine.Log, engine.Keeper = n.agent, leaveAfter, log, keeper
 	n.engine, err = delivery.Open(engine, append(further, own)...)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/undelivered/recovery/bank_test.go
@@ -0,0 +1,208 @@
+package recovery
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"starlingusher/daemon"
+	"starlingusher/delivery"
+	"starlingusher/internal/standin"
+	"starlingusher/undelivered"
+)
+
+const (
+	bankMessages = 5001 // a third of each class
+	bankDests    = 60   // branches of the one bank
+	bankSettings = `{"fleetSize":1,"categories":[
+	{"name":"table-status","effect":"idempotent","aim":200,"deadline":600,"worth":1,"lateWorth":0.3},
+	{"name":"coin-order","effect":"deduplicated","aim":200,"deadline":600,"worth":3,"lateWorth":0.3,"window":3600000},
+	{"name":"prize-payout","effect":"at_most_once","aim":200,"deadline":600,"worth":4,"lateWorth":0.3}],
+	"contract":{"coldFrom":0.29,"fall":500,"fallMultiple":1.5,"graceToAnswer":20,"stopSendingWithin":250,"warmWithin":500},
+	"discovery":"pushed","domain":{"decay":"line","kindBatch":[1],"separateRoutes":[false],"workers":400},
+	"failureDomains":["a"],"flavors":["plain"],
+	"limits":{"cancel":true,"connIdle":5000,"dialTimeout":1000,"maxAttempts":12,"maxOpen":2000,"maxRetryAfter":300,"retryAfter":true},
+	"tick":5,"weights":"rough"}`
+)
+
+// A bank accepts calls, runs them and never answers; then it is well again. By the bank's own count each coin order has
+// taken effect once, by the rules alone, and no payout twice. A person who looks at the bank's books settles the payouts
+// that may have run, and then each of them has run once.
+func TestTheBankThatNeverAnswers(t *testing.T) {
+	dir, err := os.MkdirTemp("", "bank")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer os.RemoveAll(dir)
+	discovery, err := standin.NewDiscovery()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer discovery.Close()
+	ledger := standin.NewLedger()
+	var branches []*standin.HTTP
+	var members []standin.Member
+	for i := range bankDests {
+		b, err := standin.NewHTTP(standin.Each(standin.Step{Fault: standin.Silent}), ledger)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer b.Close()
+		branches = append(branches, b)
+		members = append(members, standin.Member{
+			ID: fmt.Sprint("branch-", i), Addr: b.Addr(), Zone: "a", Kind: "plain", Dest: i, Phase: "SERVING", Size: 1000,
+		})
+	}
+	text, err := standin.NodeConfig("127.0.0.1:0", discovery.Addr(),
+		standin.Limits{Cores: 4, MemoryMB: 512, Sockets: 4000, DiskMB: 64}, bankSettings, members)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(name string, text []byte) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	cfg, err := daemon.Load(write("node.json", text), dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.DiscardHandler)
+	s, err := Open(Options{
+		Folder: dir, Rules: write("rules.yaml", []byte(rulesText)), Settings: cfg.Settings, Names: cfg.Names.Classes, Log: log,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	d, err := daemon.OpenKeeping(cfg, log, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Start(d.Engine()); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	parts.Go(func() { s.Run(ctx) })
+	parts.Go(func() {
+		if err := d.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	defer parts.Wait()
+	defer stop()
+
+	// Clients hand each message in until it is taken, and again when it is given back.
+	id := func(i int) string { return fmt.Sprint("m", i) }
+	message := func(i int) delivery.Message {
+		m := delivery.Message{ID: id(i), Class: i % 3, Dest: i % bankDests, Body: []byte(`{"amount":` + fmt.Sprint(i) + `}`),
+			Came: time.Now(), Life: 600 * time.Millisecond}
+		if i%3 == order {
+			m.Key = "key-" + id(i)
+		}
+		return m
+	}
+	taken := map[int]int{} // times that it was taken on
+	settled := func(i int, returned map[string]int) bool {
+		return taken[i] > returned[id(i)] // it was taken, and not given back since
+	}
+	round := func() (open int) {
+		returned := map[string]int{}
+		for _, n := range discovery.Notices() {
+			if n.State == "rejected" || n.State == "returned" || n.State == "refused" {
+				returned[n.ID]++
+			}
+		}
+		for i := range bankMessages {
+			if settled(i, returned) {
+				continue
+			}
+			open++
+			if a := d.Engine().Hand("", message(i)); !a.Refused && a.Failed == "" {
+				taken[i]++
+			} else if a.Failed != "" {
+				t.Fatalf("%s: %s", id(i), a.Failed)
+			}
+		}
+		return open
+	}
+	count := func(class string, states ...undelivered.State) (n int) {
+		if err := s.Desk().List(ctx, Filter{Classes: []string{class}, States: states}, func(Row) error { n++; return nil }); err != nil {
+			t.Fatal(err)
+		}
+		return n
+	}
+	const kept = 60 // of both classes together at least, so that the run has something to show
+	eventually(t, "undelivered messages", func() bool {
+		round()
+		return count("coin-order", undelivered.Waiting, undelivered.Out) >= kept/2 && count("prize-payout", undelivered.Waiting) >= kept/2
+	})
+	waiting := count("coin-order") + count("prize-payout")
+	for _, b := range branches {
+		b.Do(nil)
+	}
+	eventually(t, "all taken on and none given back", func() bool { return round() == 0 })
+	defer func() {
+		n := map[string]int{}
+		s.Desk().List(ctx, Filter{}, func(r Row) error {
+			n[fmt.Sprint(r.Class, r.State, r.Waits, r.Why, r.Reason, r.Resends)]++
+			return nil
+		})
+		s.mu.Lock()
+		t.Log(n, len(s.lives), s.out, s.dirty)
+		s.mu.Unlock()
+	}()
+	eventually(t, "coin orders resent", func() bool { return count("coin-order", undelivered.Waiting, undelivered.Out) == 0 })
+	eventually(t, "all under way", func() bool { return len(ledger.Runs()) >= bankMessages && round() == 0 })
+
+	effects, runs := ledger.Effects(time.Hour), ledger.Runs()
+	for i := range bankMessages {
+		switch i % 3 {
+		case order:
+			if n := effects["key-"+id(i)]; n != 1 {
+				t.Errorf("coin order %s took effect %d times", id(i), n)
+			}
+		case payout:
+			if n := runs[id(i)]; n != 1 {
+				t.Errorf("payout %s ran %d times", id(i), n)
+			}
+		default:
+			if runs[id(i)] == 0 {
+				t.Errorf("status %s is lost", id(i))
+			}
+		}
+	}
+	// Each payout that waits has run, as the bank's books show, and a person says so.
+	if err := s.Desk().List(ctx, Filter{States: []undelivered.State{undelivered.Waiting}}, func(r Row) error {
+		if r.Class != "prize-payout" || r.Waits != ForPerson {
+			t.Errorf("left waiting: %+v", r)
+		}
+		return s.Desk().Decide(ctx, r.Number, undelivered.Apply, "night shift", "the bank shows it")
+	}); err != nil {
+		t.Error(err)
+	}
+	t.Logf("%d messages, %d undelivered at the outage's end, %d entries, %d calls at the bank", bankMessages, waiting,
+		count("coin-order")+count("prize-payout")+count("table-status"), len(ledger.Calls()))
+}
+
+// Both forms of a row are read back from what is written.
+func TestRowsAsJSON(t *testing.T) {
+	r := Row{Entry: undelivered.Entry{Number: 3, ID: "a", Class: "coin-order", State: undelivered.Waiting}, Waits: ForRule, Why: "w"}
+	text, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back Row
+	if err := json.Unmarshal(text, &back); err != nil || back.Number != 3 || back.Waits != ForRule || back.State != undelivered.Waiting {
+		t.Errorf("%s: %+v, %v", text, back, err)
+	}
+}
--- a/undelivered/rules/rules.go
+++ b/undelivered/rules/rules.go
@@ -54,9 +54,10 @@
 	Key      string
 	Dest     int
 	Reason   Reason
-	Ended    time.Time // of its last life
+	First    time.Time // the end of its first life,
+	Ended    time.Time // and of its last one
 	Attempts []Attempt // of all its lives, in their order
-	Resends  int       // lives after the first
+	Resends  int       // lives after the first in which it was sent
 	Wait     time.Time // until when the partner asked to be left alone
 	Out      bool      // a life of it is under way
 	Decided  bool      // a person has decided on it
@@ -189,6 +190,9 @@
 type Set struct {
 	Rules []Rule
 	Zone  *time.Location // of the quiet hours
+	// The store's budget: what its file may hold, and for how long entries are kept that no person has to decide on.
+	MaxBytes int64
+	MaxAge   time.Duration
 }
 
 // Verdict is what a set says of an entry.
@@ -235,7 +239,7 @@
 		return Verdict{Person: true, Why: "the rule holds it for a person"}
 	case e.Resends >= r.Tries:
 		return Verdict{Person: true, Why: fmt.Sprintf("%d resends have failed", e.Resends)}
-	case r.MaxAge > 0 && now.Sub(e.Ended) > r.MaxAge:
+	case r.MaxAge > 0 && now.Sub(e.First) > r.MaxAge:
 		return Verdict{Person: true, Why: "it is too old for the rule"}
 	}
 	at, why := e.Ended.Add(r.Pause), "the rule's pause"
--- a/undelivered/store.go
+++ b/undelivered/store.go
@@ -53,11 +53,13 @@
 	Dest     int             `json:"destination"`
 	Deadline time.Time       `json:"deadline"`
 	Reason   rules.Reason    `json:"reason"`
-	Ended    time.Time       `json:"ended"`
+	First    time.Time       `json:"first_ended"` // the end of its first life,
+	Ended    time.Time       `json:"ended"`       // and of its last one
 	Wait     time.Time       `json:"wait,omitzero"`
 	Attempts []rules.Attempt `json:"attempts,omitempty"`
 	Resends  int             `json:"resends,omitempty"`
 	State    State           `json:"state"`
+	Began    time.Time       `json:"began,omitzero"`    // Out: when the resend began
 	Granted  bool            `json:"granted,omitempty"` // a person has decided that it is sent again
 	Size     int             `json:"size"`              // of the body, in bytes
 }
@@ -265,6 +267,8 @@
 }
 
 func (s *Store) keep(tx *bbolt.Tx, e Entry, body []byte) error {
+	replaced := false
+	e.First = e.Ended
 	refs, all, bodies := tx.Bucket(refsBucket), tx.Bucket(entriesBucket), tx.Bucket(bodiesBucket)
 	e.Size = len(body)
 	if old := refs.Get(e.Ref().key()); old != nil {
@@ -276,13 +280,18 @@
 		if !before.State.open() {
 			return nil // decided meanwhile; an end that is written again changes nothing
 		}
+		e.First = before.First
 		if before.State == Out || before.Resends > 0 {
 			e.Resends = before.Resends
 			e.Attempts = join(before.Attempts, e.Attempts)
+			if before.State == Out && len(e.Attempts) == len(before.Attempts) {
+				e.Resends-- // it was not sent at all
+			}
 		}
 		if err := s.remove(tx, before); err != nil {
 			return err
 		}
+		replaced = true
 	} else {
 		n, err := all.NextSequence()
 		if err != nil {
@@ -290,12 +299,13 @@
 		}
 		e.Number = n
 	}
-	e.State, e.Granted = Waiting, false
+	e.State, e.Granted, e.Began = Waiting, false, time.Time{}
 	text, err := json.Marshal(e)
 	if err != nil {
 		return err
 	}
-	if err := s.room(tx, cost(text, len(body))); err != nil {
+	// What is known of an entry must not be lost for want of room: it is over the budget by some attempts then.
+	if err := s.room(tx, cost(text, len(body))); err != nil && !(replaced && errors.Is(err, ErrFull)) {
 		return err
 	}
 	if err := errors.Join(refs.Put(e.Ref().key(), encode(e.Number)), all.Put(encode(e.Number), text),
@@ -392,7 +402,7 @@
 // Rule is an entry as the rules see it; false if its class is not known any more.
 func (s *Store) Rule(e *Entry) (rules.Entry, bool) {
 	r := rules.Entry{
-		Number: e.Number, Key: e.Key, Dest: e.Dest, Granted: e.Granted, Reason: e.Reason, Ended: e.Ended, Attempts: e.Attempts, Resends: e.Resends,
+		Number: e.Number, Key: e.Key, Dest: e.Dest, Granted: e.Granted, Reason: e.Reason, First: e.First, Ended: e.Ended, Attempts: e.Attempts, Resends: e.Resends,
 		Wait: e.Wait, Out: e.State == Out, Decided: !e.State.open(),
 	}
 	for _, c := range s.o.Classes {
@@ -450,9 +460,17 @@
 // Each hands the entries from a number on to do, in their order, until it returns false. Only one is held at a time. do
 // must not use the store.
 func (s *Store) Each(from uint64, do func(Entry) bool) error {
+	return s.Scan(from, func([]byte) bool { return true }, do)
+}
+
+// Scan is Each of the entries whose JSON text wanted lets through, which costs less than reading them.
+func (s *Store) Scan(from uint64, wanted func(text []byte) bool, do func(Entry) bool) error {
 	return s.view(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(entriesBucket).Cursor()
 		for k, v := c.Seek(encode(from)); k != nil; k, v = c.Next() {
+			if !wanted(v) {
+				continue
+			}
 			e, err := decode(v)
 			if err != nil {
 				return err
@@ -541,15 +559,16 @@
 		case e.Granted != granted:
 			return fmt.Errorf("%d has been decided on: %w", n, ErrMoved)
 		}
-		e.State, e.Resends = Out, e.Resends+1
+		e.State, e.Resends, e.Began = Out, e.Resends+1, s.o.Now()
 		return s.put(tx, e)
 	})
 	return e, err
 }
 
 // Reconcile brings the store in line with the messages that the engine owes an end, at its start. A message that still
-// lives its first life has its entry written again when that ends, and none until then. A mark of a resend that the
-// engine does not know is taken back, and one that is missing is made. It returns how many entries it has changed.
+// lives its first life has its entry written again when that ends, and none until then. A resend that the engine
+// does not know may never have begun, or its end could not be written: it counts as one that may have run. A mark of a
+// resend that is missing is made. It returns how many entries it has changed.
 func (s *Store) Reconcile(first, again []Ref) (changed int, err error) {
 	lives := map[string]bool{}
 	for _, r := range again {
@@ -584,9 +603,11 @@
 			}
 			switch live := lives[string(e.Ref().key())]; {
 			case e.State == Out && !live:
-				e.State, e.Resends = Waiting, e.Resends-1
+				e.State = Waiting
+				e.Attempts = append(e.Attempts, rules.Attempt{At: e.Began, Err: "its process ended, and how it ended is not known"})
+				e.Reason, e.Ended, e.Began, e.Granted = rules.Interrupted, s.o.Now(), time.Time{}, false
 			case e.State == Waiting && live:
-				e.State = Out
+				e.State, e.Began = Out, s.o.Now()
 			default:
 				continue
 			}
@@ -645,7 +666,7 @@
 	return gone, err
 }
 
-// Back takes a resend back that was marked and did not begin: its process ended in between.
+// Back takes a resend back that was marked and is known not to have begun.
 func (s *Store) Back(n uint64) error {
 	return s.update(func(tx *bbolt.Tx) error {
 		e, err := get(tx, n)
@@ -655,7 +676,7 @@
 		if e.State != Out {
 			return fmt.Errorf("%d is %s: %w", n, e.State, ErrMoved)
 		}
-		e.State, e.Resends = Waiting, e.Resends-1
+		e.State, e.Resends, e.Began = Waiting, e.Resends-1, time.Time{}
 		return s.put(tx, e)
 	})
 }
@@ -673,7 +694,7 @@
 			if err != nil {
 				return err
 			}
-			e.State, e.Granted = Delivered, false
+			e.State, e.Granted, e.Began = Delivered, false, time.Time{}
 			if err := s.put(tx, e); err != nil {
 				return err
 			}
