--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,7 +53,7 @@
 	slotSpan   = 2 * time.Second        // slot time fades from memory in this span
 	sendCharge = 10 * time.Millisecond  // slot time booked at once, so that sends of one moment take turns
 	slowShare  = 0.4                    // share of the slots that all slow destinations together may hold
-	// Spare messages take this share of the slots, while no more than half of them are taken, and so of a burst.
+	// Spare messages take this share of the slots, while half of them are free, and wait for half a burst.
 	spareShare, spareRoom = 0.125, 0.5
 	spareTrial            = 2 * time.Second // pause between those that a shut gate lets through
 
@@ -950,7 +950,7 @@
 	return slots <= 0 || (float64(s.busy) < spareRoom*slots && float64(s.lent) < max(1, spareShare*slots))
 }
 
-// nextSpare finds the spare message that a destination would release now. Nothing else must wait there, and a good
+// nextSpare finds the spare message that a destination would release now. Nothing else must wait there, and a
 // part of the pace stays for what may come. Where others come at all, trials and the way back are theirs.
 func (s *Sender) nextSpare(d *destination) (*message, *endpoint) {
 	if len(d.spares) == 0 || len(d.waiting) > 0 {
--- a/cmd/coralyard/main_test.go
+++ b/cmd/coralyard/main_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -20,6 +21,16 @@
 // TestMain is the program itself when a test starts this binary as a child.
 func TestMain(m *testing.M) {
 	if os.Getenv("CORALYARD_TEST_CHILD") != "" {
+		if text := os.Getenv("CORALYARD_TEST_FILE_SIZE"); text != "" { // a disk on which no file gets larger
+			var n uint64
+			if _, err := fmt.Sscan(text, &n); err != nil {
+				panic(err)
+			}
+			signal.Ignore(syscall.SIGXFSZ)
+			if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: n, Max: n}); err != nil {
+				panic(err)
+			}
+		}
 		main()
 		return
 	}
--- a/cmd/coralyard/undelivered.go
+++ b/cmd/coralyard/undelivered.go
@@ -150,7 +150,7 @@
 }
 
 // The table is 100 columns wide.
-const tableForm = "%8s  %-14s  %6s  %-20s  %-11s  %5s  %3s  %-9s  %s"
+const tableForm = "%7s  %-14s  %6s  %-20s  %-11s  %5s  %3s  %-9s  %s"
 
 var tableHead = fmt.Sprintf(tableForm, "NUMBER", "CLASS", "DEST", "ID", "ENDED", "TRIES", "AGN", "STATE", "WAITS FOR")
 
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -706,7 +706,7 @@
 func (n *Engine) accept(a arrival, fresh newcomers) *past {
 	name := ref(a.front.Name, a.ID)
 	p := n.messages[name]
-	if (p != nil && (p.again() || a.life != nil)) || (a.life != nil && n.again >= maxAgain) {
+	if p != nil && (p.again() || a.life != nil) {
 		// A further life and a new message of its ID don't meet, or one's end could be taken for the other's.
 		a.answer(n.turnAway(a))
 		return nil
@@ -737,7 +737,8 @@
 	case !n.sender.Knows(a.Dest):
 		a.answer(Answer{Failed: "unknown destination"})
 		return nil
-	case a.life == nil && n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
+	case a.life != nil && n.again >= maxAgain,
+		a.life == nil && n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
 		a.answer(n.turnAway(a))
 		return nil
 	}
