AS2: messages, receipts as proof, carrier, server, partners' file and commands

Some banks take payouts only as AS2 messages, which staff relayed by hand. A refusal by a partner is told to clients as a failure, where it was told to nobody.

--- a/cmd/coralyard/kill_test.go
+++ b/cmd/coralyard/kill_test.go
@@ -143,6 +143,16 @@
 
 // hand hands messages in on one connection, and returns which of them the node has taken on.
 func (s *site) hand(ids []string, class, dest func(i int) int) map[string]bool {
+	return s.handAs(ids, func(i int) string {
+		fields := fmt.Sprintf("c=%s,d=250,dest=%d", bankClasses[class(i)], dest(i))
+		if class(i) == 1 {
+			fields += ",k=key-" + ids[i]
+		}
+		return fields
+	})
+}
+
+func (s *site) handAs(ids []string, fields func(i int) string) map[string]bool {
 	taken := map[string]bool{}
 	nc, err := net.Dial("tcp", s.addr)
 	if err != nil {
@@ -151,11 +161,7 @@
 	defer nc.Close()
 	var text strings.Builder
 	for i, id := range ids {
-		fields := fmt.Sprintf("c=%s,d=250,dest=%d", bankClasses[class(i)], dest(i))
-		if class(i) == 1 {
-			fields += ",k=key-" + id
-		}
-		text.WriteString(standin.Command("ENQUEUE", "0", id, fields, "body of "+id))
+		text.WriteString(standin.Command("ENQUEUE", "0", id, fields(i), "body of "+id))
 	}
 	if _, err := io.WriteString(nc, text.String()); err != nil {
 		return taken
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -18,7 +18,6 @@
 	"github.com/alecthomas/kong"
 
 	"starlingusher/daemon"
-	"starlingusher/delivery"
 	"starlingusher/internal/demo"
 	"starlingusher/undelivered/recovery"
 	"starlingusher/undelivered/rules"
@@ -27,6 +26,7 @@
 // tool is the command line. Without arguments the program is the node, and none of this is looked at.
 type tool struct {
 	Demo        demoCommand        `cmd:"" help:"Run a node with three stand-in partners in a temporary folder, and show what becomes of some messages."`
+	AS2         as2Command         `cmd:"" name:"as2" help:"Check the file of AS2 partners, and try a partner out."`
 	Undelivered undeliveredCommand `cmd:"" help:"Look at undelivered messages, decide on them and send them again."`
 }
 
@@ -86,24 +86,36 @@
 	if err != nil {
 		return err
 	}
-	var keeper delivery.Keeper
+	var x daemon.Extras
 	if again != nil {
-		keeper = again
+		x.Keeper = again
 		defer again.Close()
 	}
-	d, err := daemon.OpenKeeping(cfg, log, keeper)
+	partners, err := openAS2(cfg, log, again)
 	if err != nil {
 		return err
 	}
+	if partners != nil {
+		defer partners.Close()
+		x.Carriers = partners.Carriers()
+		x.Further = partners.Front(daemon.NewCarrier(cfg, x.Carriers))
+	}
+	d, err := daemon.OpenWith(cfg, log, x)
+	if err != nil {
+		return err
+	}
+	life, end := context.WithCancel(ctx)
+	var beside sync.WaitGroup
+	defer beside.Wait() // before what they use is closed
+	defer end()
 	if again != nil {
 		if err := again.Start(d.Engine()); err != nil {
 			return errors.Join(err, d.Close())
 		}
-		life, end := context.WithCancel(ctx)
-		var recovering sync.WaitGroup
-		recovering.Go(func() { again.Run(life) })
-		defer recovering.Wait() // before the store is closed
-		defer end()
+		beside.Go(func() { again.Run(life) })
+	}
+	if partners != nil {
+		beside.Go(func() { partners.Run(life, d.Engine()) })
 	}
 	done := make(chan struct{})
 	var reloads sync.WaitGroup
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,12 +28,20 @@
 // Open opens the state folder and listens. Further fronts share the engine, and with it each partner's rate, waits,
 // cold starts and slots. Run has to be called next, or Close.
 func Open(cfg Config, log *slog.Logger, further ...delivery.Front) (*Daemon, error) {
-	return OpenKeeping(cfg, log, nil, further...)
+	return OpenWith(cfg, log, Extras{Further: further})
 }
 
-// OpenKeeping is Open with a keeper of what ends undelivered.
-func OpenKeeping(cfg Config, log *slog.Logger, keeper delivery.Keeper, further ...delivery.Front) (*Daemon, error) {
-	n, err := node.New(cfg, log, keeper, further...)
+// Extras are what a daemon may have beside its own.
+type Extras = node.Extras
+
+// NewCarrier makes a carrier like the daemon's own, for a further front whose messages go on to the same destinations.
+func NewCarrier(cfg Config, carriers map[int]delivery.Carrier) delivery.Carrier {
+	return node.NewCarrier(cfg, carriers)
+}
+
+// OpenWith is Open with more than fronts.
+func OpenWith(cfg Config, log *slog.Logger, x Extras) (*Daemon, error) {
+	n, err := node.New(cfg, log, x)
 	if err != nil {
 		return nil, err
 	}
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -911,7 +911,7 @@
 	n.note(p, e)
 	wanted = wanted && !p.again()
 	// A sink hears of what did not get through; without one all ends are kept.
-	owed := wanted && (f.Sink == nil || e.state == Returned || e.state == Failed)
+	owed := wanted && (f.Sink == nil || e.state != Delivered)
 	if p.keep || (owed && len(waiters) == 0) {
 		n.held--
 		n.journal.add(endedRecord(p.seq, e))
@@ -940,7 +940,7 @@
 	case n.cfg.Keeper == nil:
 	case p.again() && e.state == Delivered:
 		n.late = append(n.late, p.ref())
-	case p.again() || e.state == Failed:
+	case p.again() || e.state == Failed || (e.state == Refused && n.fronts[p.front].Sink != nil):
 		n.lost = append(n.lost, n.lostOf(p, e))
 	}
 }
@@ -1072,7 +1072,7 @@
 		endpoint = e.ID
 	}
 	n.journal.add(attemptRecord(p.seq, now, e.zone, endpoint))
-	c := Attempt{ID: p.id, Key: p.key, Class: p.class, Dest: p.dest, Body: p.body, Endpoint: e,
+	c := Attempt{ID: p.id, Key: p.key, Class: p.class, Dest: p.dest, Ref: p.ref(), Body: p.body, Endpoint: e,
 		NotPast: n.wall(a.NotPast), Fresh: a.Fresh, Number: name.n}
 	carrier := n.fronts[p.front].Carrier
 	n.acts = append(n.acts, func() {
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -13,6 +13,7 @@
 	ID, Key  string // of the message; Key is empty where its class has none
 	Class    int    // its number in the settings
 	Dest     int
+	Ref      Ref    // of the message across its lives
 	Body     []byte // must not be changed
 	Endpoint *Endpoint
 	NotPast  time.Time // when it is to be abandoned
--- a/internal/conformance/conformance_test.go
+++ b/internal/conformance/conformance_test.go
@@ -9,7 +9,7 @@
 	"starlingusher/internal/standin"
 )
 
-// scenario is a class, a fault and, in some, a restart. All run in both forms by the same code, and both must record
+// scenario is a class, a fault and, in some, a restart. All run in all forms by the same code, and all must record
 // the same.
 type scenario struct {
 	name  string
@@ -195,7 +195,7 @@
 	for _, s := range list {
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
-			forms := []form{&daemonForm{}, &pluginForm{}}
+			forms := []form{&daemonForm{}, &pluginForm{}, &as2Form{}}
 			records := make([]record, len(forms))
 			for i, f := range forms {
 				records[i] = s.play(t, f)
--- a/internal/conformance/forms_test.go
+++ b/internal/conformance/forms_test.go
@@ -21,6 +21,7 @@
 	testpb "google.golang.org/grpc/interop/grpc_testing"
 	grpcstatus "google.golang.org/grpc/status"
 
+	"starlingusher/as2/gateway"
 	"starlingusher/daemon"
 	"starlingusher/delivery"
 	"starlingusher/grpcdelivery"
@@ -113,10 +114,11 @@
 	out *bufio.Reader
 }
 
-func startChild(t *testing.T, form, state, config string) *child {
+func startChild(t *testing.T, form, state, config string, more ...string) *child {
 	t.Helper()
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), "CORALYARD_TEST_FORM="+form, "ROUTER_STATE="+state, "ROUTER_CONFIG="+config)
+	cmd.Env = append(cmd.Env, more...)
 	cmd.Stderr = os.Stderr
 	in, err := cmd.StdinPipe()
 	if err != nil {
@@ -155,6 +157,7 @@
 	discovery *standin.Discovery
 	ledger    *standin.Ledger
 	early     map[string]string // answered on arrival
+	env       []string          // of the child, beside its own
 }
 
 func (*daemonForm) name() string { return "daemon" }
@@ -175,7 +178,15 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.Open(cfg, slog.New(slog.DiscardHandler))
+	log, x := slog.New(slog.DiscardHandler), daemon.Extras{}
+	if file := os.Getenv("CORALYARD_TEST_AS2"); file != "" {
+		g, err := gateway.Open(gateway.Options{File: file, State: cfg.State, Classes: cfg.Names.Classes, DialTimeout: cfg.Settings.DialTimeout, Log: log})
+		if err != nil {
+			return err
+		}
+		x.Carriers = g.Carriers()
+	}
+	d, err := daemon.OpenWith(cfg, log, x)
 	if err != nil {
 		return err
 	}
@@ -194,7 +205,7 @@
 		d.early = map[string]string{}
 	}
 	d.discovery.RefusePosts(0)
-	d.child = startChild(t, "daemon", state, writeConfig(t, d.discovery.Addr(), members))
+	d.child = startChild(t, "daemon", state, writeConfig(t, d.discovery.Addr(), members), d.env...)
 	d.addr = d.child.line(t)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,18 +27,55 @@
 	clients *clients
 }
 
-// New loads the journal. Further fronts share the node's engine, and with it each partner's rate, waits and slots. A
-// keeper, if there is one, takes what ends undelivered.
-func New(cfg Config, log *slog.Logger, keeper delivery.Keeper, further ...delivery.Front) (*Node, error) {
+// Extras are what a node may have beside its own.
+type Extras struct {
+	Keeper delivery.Keeper // takes what ends undelivered; nil for none
+	// Carriers are those of the destinations that are not called over HTTP.
+	Carriers map[int]delivery.Carrier
+	// Further fronts share the node's engine, and with it each partner's rate, waits and slots.
+	Further []delivery.Front
+}
+
+// NewCarrier makes a carrier for a node's messages: HTTP calls, but to the destinations that have a carrier of their own.
+func NewCarrier(cfg Config, carriers map[int]delivery.Carrier) delivery.Carrier {
+	calls := newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8))
+	if len(carriers) == 0 {
+		return calls
+	}
+	return byDest{calls, carriers}
+}
+
+// byDest has some destinations called by carriers of their own. Those may serve several.
+type byDest struct {
+	delivery.Carrier
+	carriers map[int]delivery.Carrier
+}
+
+func (b byDest) Attempt(ctx context.Context, a delivery.Attempt) delivery.Result {
+	if c := b.carriers[a.Dest]; c != nil {
+		return c.Attempt(ctx, a)
+	}
+	return b.Carrier.Attempt(ctx, a)
+}
+
+func (b byDest) HangUp(endpoint string, keep int) {
+	b.Carrier.HangUp(endpoint, keep)
+	for _, c := range b.carriers {
+		c.HangUp(endpoint, keep)
+	}
+}
+
+// New loads the journal.
+func New(cfg Config, log *slog.Logger, x Extras) (*Node, error) {
 	n := &Node{cfg: cfg, log: log, agent: newAgent(cfg.Discovery, cfg.Known.Revision, cfg.Names, log)}
 	own := delivery.Front{
 		Name: Front, Sink: n.agent, Leave: func() { n.clients.close() },
-		Carrier: newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8)),
+		Carrier: NewCarrier(cfg, x.Carriers),
 	}
 	var err error
 	engine := cfg.Engine()
-	engine.Members, engine.LeaveAfter, engine.Log, engine.Keeper = n.agent, leaveAfter, log, keeper
-	n.engine, err = delivery.Open(engine, append(further, own)...)
+	engine.Members, engine.LeaveAfter, engine.Log, engine.Keeper = n.agent, leaveAfter, log, x.Keeper
+	n.engine, err = delivery.Open(engine, append(x.Further, own)...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -90,7 +90,7 @@
 	if alter != nil {
 		alter(&cfg)
 	}
-	n, err := New(cfg, slog.New(slog.DiscardHandler), nil)
+	n, err := New(cfg, slog.New(slog.DiscardHandler), Extras{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -390,7 +390,7 @@
 	if err != nil {
 		return err
 	}
-	n, err := New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)), nil)
+	n, err := New(cfg, slog.New(slog.NewTextHandler(os.Stderr, nil)), Extras{})
 	if err != nil {
 		return err
 	}
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -25,8 +25,14 @@
 	AfterMS int64  `json:"after_ms,omitempty"`
 }
 
+// newNotice tells of a refusal as of a failure: the platform knows no other word for an end that is none to come again
+// after.
 func newNotice(e delivery.End) notice {
-	return notice{ID: e.ID, State: e.State.String(), AfterMS: e.After.Milliseconds()}
+	state := e.State
+	if state == delivery.Refused {
+		state = delivery.Failed
+	}
+	return notice{ID: e.ID, State: state.String(), AfterMS: e.After.Milliseconds()}
 }
 
 func post(ctx context.Context, client *http.Client, addr string, batch []delivery.End) error {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -19,6 +19,7 @@
 type HTTP struct {
 	*Ledger
 	serve func(net.Conn, *http.Request) bool
+	reply func(Call) (header string, body []byte) // of a good answer; nil for the step's own
 
 	mu     sync.Mutex
 	addr   string
@@ -30,19 +31,25 @@
 }
 
 // NewHTTP starts a partner that does what the script says. The ledger may be shared; nil makes a new one.
-func NewHTTP(script Script, ledger *Ledger) (*HTTP, error) { return newHTTP(script, nil, ledger) }
+func NewHTTP(script Script, ledger *Ledger) (*HTTP, error) { return newHTTP(script, nil, nil, ledger) }
+
+// NewReplyingHTTP is NewHTTP with replies made of each call that is answered well: lines of a header, each with its line
+// end, and a body.
+func NewReplyingHTTP(script Script, ledger *Ledger, reply func(Call) (header string, body []byte)) (*HTTP, error) {
+	return newHTTP(script, nil, reply, ledger)
+}
 
 // NewRawHTTP starts a partner of which serve answers each request that has come whole, on the bare connection. False
 // closes it.
 func NewRawHTTP(serve func(nc net.Conn, req *http.Request) bool) (*HTTP, error) {
-	return newHTTP(nil, serve, nil)
+	return newHTTP(nil, serve, nil, nil)
 }
 
-func newHTTP(script Script, serve func(net.Conn, *http.Request) bool, ledger *Ledger) (*HTTP, error) {
+func newHTTP(script Script, serve func(net.Conn, *http.Request) bool, reply func(Call) (string, []byte), ledger *Ledger) (*HTTP, error) {
 	if ledger == nil {
 		ledger = NewLedger()
 	}
-	p := &HTTP{Ledger: ledger, serve: serve, open: map[net.Conn]bool{}, script: script, closed: make(chan struct{}), addr: "127.0.0.1:0"}
+	p := &HTTP{Ledger: ledger, serve: serve, reply: reply, open: map[net.Conn]bool{}, script: script, closed: make(chan struct{}), addr: "127.0.0.1:0"}
 	return p, p.Accept()
 }
 
@@ -163,14 +170,14 @@
 			s = script(c)
 		}
 		p.Note(c, s.Fault)
-		if !p.answer(nc, s) {
+		if !p.answer(nc, c, s) {
 			return
 		}
 	}
 }
 
 // answer does a step, and tells whether the connection goes on.
-func (p *HTTP) answer(nc net.Conn, s Step) bool {
+func (p *HTTP) answer(nc net.Conn, c Call, s Step) bool {
 	if s.Delay > 0 {
 		t := time.NewTimer(s.Delay)
 		defer t.Stop()
@@ -183,7 +190,11 @@
 	text := ""
 	switch s.Fault {
 	case None:
-		text = "HTTP/1.1 200 OK\r\n" + load(s) + "Content-Length: " + strconv.Itoa(len(s.Reply)) + "\r\n\r\n" + string(s.Reply)
+		header, body := load(s), s.Reply
+		if p.reply != nil {
+			header, body = p.reply(c)
+		}
+		text = "HTTP/1.1 200 OK\r\n" + header + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + string(body)
 	case Error:
 		text = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"
 	case Silent:
--- a/undelivered/recovery/bank_test.go
+++ b/undelivered/recovery/bank_test.go
@@ -83,7 +83,7 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	d, err := daemon.OpenKeeping(cfg, log, s)
+	d, err := daemon.OpenWith(cfg, log, daemon.Extras{Keeper: s})
 	if err != nil {
 		t.Fatal(err)
 	}
