--- a/as2/server/server_test.go
+++ b/as2/server/server_test.go
@@ -6,9 +6,11 @@
 	"crypto/x509"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -310,3 +312,41 @@
 		}
 	}
 }
+
+// A header or a body without bounds is cut off, and the server goes on.
+func TestFloods(t *testing.T) {
+	r := newRig(t)
+	srv := (&Server{}).HTTP()
+	srv.Handler = r.srv.Config.Handler
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go srv.Serve(ln)
+	t.Cleanup(func() { srv.Close() })
+	nc, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	line := []byte("X: " + strings.Repeat("y", 1<<20) + "\r\n")
+	written := 0
+	fmt.Fprint(nc, "POST / HTTP/1.1\r\nHost: us\r\n")
+	for range 60 {
+		n, err := nc.Write(line)
+		if written += n; err != nil {
+			break
+		}
+	}
+	if written >= 60<<20 {
+		t.Errorf("all %d bytes of a header were taken", written)
+	}
+	s := r.message("<m@bank>", nil)
+	s.Body = make([]byte, 8<<20)
+	if status, _, _ := r.post(s); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d", status)
+	}
+	if status, _, _ := r.post(r.message("<m@bank>", nil)); status != 200 {
+		t.Errorf("status %d afterwards", status)
+	}
+}
--- a/internal/standin/as2bank/bank.go
+++ b/internal/standin/as2bank/bank.go
@@ -153,6 +153,13 @@
 // Calls counts the calls that have come whole, by Message-ID.
 func (b *Bank) Calls() map[string]int { return b.copy(&b.calls) }
 
+// Came tells whether a message has come.
+func (b *Bank) Came(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.calls[id] > 0
+}
+
 // Applied counts the payouts that were applied, by Message-ID. A repeat that the bank knows is not applied again.
 func (b *Bank) Applied() map[string]int { return b.copy(&b.applied) }
 
