AS2: dates of certificates with each signature, SHA-1 MICs of old partners, a late receipt end to end

A node that runs for a year took signatures by certificates that had expired since its start, and a partner that knows no digest but SHA-1 could never prove a delivery. A test with the real program has a receipt come in the next life: the final answer stays, nothing is sent again, the proof is kept and the undelivered entry closes.

--- a/as2/as2_test.go
+++ b/as2/as2_test.go
@@ -289,6 +289,48 @@
 	}
 }
 
+// A partner that knows no other digest answers with SHA-1, where that is taken.
+func TestAnOldPartner(t *testing.T) {
+	p := bankAsSeen()
+	for _, taken := range []bool{false, true} {
+		p.SHA1 = taken
+		s, err := Seal(payout(), p, keyOf("us"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if (s.Old.Digest == SHA1) != taken {
+			t.Errorf("taken %v: %s", taken, s.Old)
+		}
+		o, err := Open(s.Header, s.Body, usAsSeen(), []Key{keyOf("bank")}, SHA1, DefaultLimits())
+		if err != nil {
+			t.Fatal(err)
+		}
+		m := &MDN{From: "Bank One", To: "us", OriginalID: payout().ID, Disposition: Disposition{Processed: true}, MIC: o.MIC, Signed: true}
+		sent := Sent{ID: payout().ID, From: "us", To: "Bank One", MICs: []MIC{s.MIC, s.Old}, Receipt: payout().Receipt}
+		if got, why := Judge(sent, m); (got == Delivered) != taken {
+			t.Errorf("taken %v: %s, %s", taken, got, why)
+		}
+	}
+}
+
+// A certificate that is not valid any more, or not yet, proves nothing.
+func TestCertificatesAtATime(t *testing.T) {
+	p := bankAsSeen()
+	for at, want := range map[time.Duration]int{0: 1, 2 * time.Hour: 0, -2 * time.Hour: 0} {
+		if got := p.At(time.Now().Add(at)); len(got.Certs) != want {
+			t.Errorf("%v: %d certificates", at, len(got.Certs))
+		}
+	}
+	s, err := Seal(payout(), usAsSeen(), keyOf("us"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var e *OpenError
+	if _, err := Open(s.Header, s.Body, usAsSeen().At(time.Now().Add(2*time.Hour)), []Key{keyOf("us")}, "", DefaultLimits()); !errors.As(err, &e) || e.Problem != AuthenticationFailed {
+		t.Errorf("got %v", err)
+	}
+}
+
 func TestBombs(t *testing.T) {
 	l := DefaultLimits()
 	zeros, err := compress(append([]byte("Content-Type: text/plain\r\n\r\n"), make([]byte, 64<<20)...))
--- a/as2/carrier/carrier.go
+++ b/as2/carrier/carrier.go
@@ -112,6 +112,9 @@
 	w := c.wait(m.ID)
 	defer c.leave(m.ID, w)
 	sent := as2.Sent{ID: m.ID, From: m.From, To: m.To, MICs: []as2.MIC{sealed.MIC}, Receipt: m.Receipt}
+	if sealed.Old.Digest != "" {
+		sent.MICs = append(sent.MICs, sealed.Old)
+	}
 	known, err := c.o.Ledger.Sending(ledger.Sent{Sent: sent, Partner: link.Partner.ID, Ref: a.Ref}, time.Now())
 	if err != nil {
 		return delivery.Result{Outcome: choice.NoRoute, NotRun: true, Err: err}
@@ -209,7 +212,7 @@
 	header := fields(resp.Header)
 	proof, why := as2.Unproven, fmt.Sprint("the receipt ends too early: ", readErr)
 	if readErr == nil {
-		proof, why = as2.JudgeAnswer(sent, resp.StatusCode, header, body, link.Partner, c.o.Limits)
+		proof, why = as2.JudgeAnswer(sent, resp.StatusCode, header, body, link.Partner.At(heard), c.o.Limits)
 	}
 	switch proof {
 	case as2.Delivered, as2.Rejected:
--- a/as2/mdn.go
+++ b/as2/mdn.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("as2: receipt: %w", err)
 	}
-	m := &MDN{From: unquoted(e.Get("AS2-From")), To: unquoted(e.Get("AS2-To")), ID: e.Get("Message-ID")}
+	m := &MDN{From: Unquote(e.Get("AS2-From")), To: Unquote(e.Get("AS2-To")), ID: e.Get("Message-ID")}
 	if kind == "multipart/signed" {
 		inner, _, _, err := openSigned(e, params, from, l)
 		if err != nil {
--- a/as2/message.go
+++ b/as2/message.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"time"
 )
 
 // Partner is one side's view of the other, as far as messages need it.
@@ -21,6 +22,18 @@
 	Compress Compression
 }
 
+// At is the partner with the certificates that are valid at a time: a signature by another one is not taken.
+func (p Partner) At(now time.Time) Partner {
+	var valid []*x509.Certificate
+	for _, c := range p.Certs {
+		if !now.Before(c.NotBefore) && !now.After(c.NotAfter) {
+			valid = append(valid, c)
+		}
+	}
+	p.Certs = valid
+	return p
+}
+
 // Compression says when messages are compressed (RFC 5402, 2).
 type Compression uint8
 
@@ -56,6 +69,7 @@
 	Header []Field
 	Body   []byte
 	MIC    MIC
+	Old    MIC // the same by SHA-1, for a partner that knows no other digest; zero where that is not taken
 }
 
 // MIC is a message integrity check (RFC 4130, 7.3.1).
@@ -100,7 +114,8 @@
 	return name
 }
 
-func unquoted(text string) string {
+// Unquote reads an AS2 name as it stands in a header (RFC 4130, 6.2).
+func Unquote(text string) string {
 	text = strings.TrimSpace(text)
 	if len(text) >= 2 && text[0] == '"' && text[len(text)-1] == '"' {
 		return strings.NewReplacer(`\\`, `\`, `\"`, `"`).Replace(text[1 : len(text)-1])
@@ -171,6 +186,9 @@
 		e = cmsEntity("enveloped-data", "smime.p7m", der)
 	}
 	s := &Sealed{Body: e.Body, MIC: MIC{micDigest.sum(micOver), micDigest}}
+	if p.SHA1 {
+		s.Old = MIC{SHA1.sum(micOver), SHA1}
+	}
 	s.Header = []Field{{"MIME-Version", "1.0"}, {"AS2-Version", "1.2"}, {"AS2-From", quoted(m.From)}, {"AS2-To", quoted(m.To)},
 		{"Message-ID", m.ID}}
 	if m.Subject != "" {
--- a/as2/server/server.go
+++ b/as2/server/server.go
@@ -93,31 +93,25 @@
 		MaxHeaderBytes: maxHeadBytes}
 }
 
-func (s *Server) link(name string) *Link {
-	for i := range s.o.Links {
-		if s.o.Links[i].Partner.ID == name {
-			return &s.o.Links[i]
+// link is the partner of that name, with the certificates that are valid now.
+func (s *Server) link(name string, now time.Time) *Link {
+	for _, l := range s.o.Links {
+		if l.Partner.ID == name {
+			l.Partner = l.Partner.At(now)
+			return &l
 		}
 	}
 	return nil
 }
 
-func unquote(text string) string {
-	text = strings.TrimSpace(text)
-	if len(text) >= 2 && text[0] == '"' && text[len(text)-1] == '"' {
-		return strings.NewReplacer(`\\`, `\`, `\"`, `"`).Replace(text[1 : len(text)-1])
-	}
-	return text
-}
-
 // ServeHTTP takes a message or a receipt.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodPost {
 		http.Error(w, "AS2 messages are posted", http.StatusMethodNotAllowed)
 		return
 	}
-	l := s.link(unquote(r.Header.Get("AS2-From")))
-	if to := unquote(r.Header.Get("AS2-To")); l == nil || to != s.o.Self {
+	l := s.link(as2.Unquote(r.Header.Get("AS2-From")), time.Now())
+	if to := as2.Unquote(r.Header.Get("AS2-To")); l == nil || to != s.o.Self {
 		http.Error(w, "no partnership of these AS2 names", http.StatusForbidden)
 		return
 	}
--- a/cmd/coralyard/as2_test.go
+++ b/cmd/coralyard/as2_test.go
@@ -381,3 +381,46 @@
 		t.Errorf("%v\n%s", err, out)
 	}
 }
+
+// A receipt that comes after the end, in the next life of the node: the end stays, nothing is sent again, the receipt is
+// kept as proof, and the entry among the undelivered closes.
+func TestALateReceiptInTheNextLife(t *testing.T) {
+	s := newAS2Site(t, 1, func(int) string { return "signed-by-itself" })
+	hold := make(chan struct{})
+	s.banks[0].Do(func(string) as2bank.Step { return as2bank.Step{Hold: hold} })
+	node := s.run()
+	taken := s.handAs([]string{"payout"}, func(int) string { return "c=prize-payout,d=800,dest=0" })
+	if !taken["payout"] {
+		t.Fatal("it was not taken on")
+	}
+	row := s.rows(1, "--status", "waiting")[0]
+	if row.ID != "payout" || row.Waits != "person" {
+		t.Errorf("got %+v", row)
+	}
+	for end := time.Now().Add(patience); s.discovery.State("payout") != "failed"; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("its client was told nothing")
+		}
+	}
+	node.kill()
+	node = s.run()
+	close(hold)
+	s.rows(1, "--status", "delivered")
+	node.Process.Signal(syscall.SIGTERM)
+	if err := node.Wait(); err != nil {
+		t.Errorf("%v\n%s", err, node.log.String())
+	}
+	if p := s.proofs()["payout"]; p != as2.Delivered {
+		t.Errorf("the proof is %s", p)
+	}
+	for id, n := range s.banks[0].Calls() {
+		if n != 1 {
+			t.Errorf("%s came %d times", id, n)
+		}
+	}
+	for _, n := range s.discovery.Notices() {
+		if n.State != "failed" {
+			t.Errorf("got %+v", n)
+		}
+	}
+}
