--- a/choice/checker_test.go
+++ b/choice/checker_test.go
@@ -56,6 +56,9 @@
 }
 
 func newStory(t testing.TB, cfg Settings, seed uint64) *story {
+	if recordHead != nil {
+		recordHead(streamHead{cfg, seed})
+	}
 	return &story{
 		t: t, cfg: cfg, s: New(cfg, seed), now: time.Hour, msgs: map[string]*told{}, eps: map[string]*place{},
 		waits: map[string]time.Duration{}, rests: map[string]time.Duration{}, out: map[attempt]*flight{},
@@ -137,7 +140,18 @@
 		f() // stricter than the rule: the reply to the batch that told a wait heeds it too
 	}
 	w.batched = map[string]int{}
-	for _, a := range w.s.Step(w.now, events) {
+	actions := w.s.Step(w.now, events)
+	if record != nil {
+		step := streamStep{Now: w.now}
+		for _, e := range events {
+			step.Events = append(step.Events, recorded(e))
+		}
+		for _, a := range actions {
+			step.Actions = append(step.Actions, fmt.Sprintf("%#v", a))
+		}
+		record(step)
+	}
+	for _, a := range actions {
 		w.check(a)
 	}
 }
