choice: heaps of the held messages, and one fade a step, without a changed decision

With 10,000 active destinations each step went over all held messages twice, and computed an exponential function for each destination. The held are now in two heaps, by when they have to be looked at and by their deadlines, and the fade is computed once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -5,6 +5,7 @@
 package choice
 
 import (
+	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -94,6 +95,8 @@
 		parted:  map[string]time.Duration{},
 		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{},
 	}
+	s.looks.time, s.deaths.which = func(m *message) time.Duration { return m.look }, 1
+	s.deaths.time = func(m *message) time.Duration { return m.dropDead }
 	s.cfg.Fleet = max(cfg.Fleet, 1)
 	if cfg.AskForList {
 		s.askAt = 1 // at once
@@ -148,11 +151,11 @@
 	if s.askAt > 0 {
 		due = s.askAt
 	}
-	for _, m := range s.open {
-		due = min(due, max(m.dropDead-endMargin-s.cfg.Tick, s.now+sweepEvery))
-		if m.waits {
-			due = min(due, s.now+pollEvery)
-		}
+	if s.deaths.Len() > 0 {
+		due = min(due, max(s.deaths.all[0].dropDead-endMargin-s.cfg.Tick, s.now+sweepEvery))
+	}
+	if s.waits > 0 {
+		due = min(due, s.now+pollEvery)
 	}
 	if due < math.MaxInt64 && (s.wakeAt <= s.now || due < s.wakeAt) {
 		s.wakeAt = due
@@ -239,7 +242,7 @@
 
 // hold puts a message that was taken on among the waiting.
 func (s *Sender) hold(m *message, key string) {
-	s.open = append(s.open, m)
+	s.keep(m)
 	if m.class.Ordered {
 		m.key = key
 	}
@@ -305,7 +308,7 @@
 // admit asks the gate, at arrival. Beside the paper's ratio stand two departures: the deadline bounds, and
 // a share of the room for held messages, since one backlog must not turn everybody else's messages away.
 func (s *Sender) admit(d *destination, m *message) bool {
-	if s.cfg.MaxOpen > 0 && len(d.waiting) > s.cfg.MaxOpen-len(s.open)+s.spares {
+	if s.cfg.MaxOpen > 0 && len(d.waiting) > s.cfg.MaxOpen-s.open+s.spares {
 		return false
 	}
 	if d.gate.accepts(d.gate.average, seconds(m.class.Deadline)) {
@@ -398,7 +401,8 @@
 		return
 	}
 	m.over = true
-	m.dest.dequeue(m)
+	s.dequeue(m)
+	s.unkeep(m)
 	delete(s.msgs, m.id)
 	s.trimLine(m.key)
 	if a != nil {
@@ -430,19 +434,30 @@
 
 // expire gives every open message its end in time, and sweeps out the ended.
 func (s *Sender) expire() {
-	s.open = slices.DeleteFunc(s.open, func(m *message) bool {
+	for _, m := range s.due() {
 		switch {
-		case m.over:
 		case s.now >= m.dropDead-endMargin-s.cfg.Tick && m.out == 0, s.now >= m.dropDead:
 			s.giveUp(m)
 		case m.touched && m.out == 0 && m.class.Effect == Keyed && s.now >= s.windowEnd(m)-2*pollEvery:
 			s.giveUp(m) // soon it could neither be sent nor refused
+		default:
+			m.look = s.nextLook(m)
+			heap.Push(&s.looks, m)
 		}
-		if m.over && m.spare {
-			s.spares--
-		}
-		return m.over
-	})
+	}
+	s.forgetEnded()
+}
+
+// nextLook is when expire has to look at a message next: while it is out, only its deadline ends it.
+func (s *Sender) nextLook(m *message) time.Duration {
+	if m.out > 0 {
+		return m.dropDead
+	}
+	look := min(m.dropDead-endMargin-s.cfg.Tick, m.dropDead)
+	if m.touched && m.class.Effect == Keyed {
+		look = min(look, s.windowEnd(m)-2*pollEvery)
+	}
+	return look
 }
 
 // ended takes the outcome of an attempt.
@@ -490,6 +505,7 @@
 			m.notBefore = s.now + retryRest<<min(m.attempts, 16)
 		}
 		s.enqueue(m)
+		s.lookAgain(m)
 	}
 }
 
@@ -815,10 +831,13 @@
 }
 
 // spend brings the slot time that the destination had of late up to now.
-func (d *destination) spend(now time.Duration) {
-	fade := math.Exp(-seconds(now-d.usedAt) / seconds(slotSpan))
-	d.used = d.used*fade + float64(len(d.calls))*seconds(slotSpan)*(1-fade)
-	d.usedAt = now
+func (s *Sender) spend(d *destination) {
+	// Nearly all were brought up to date in the step before, and fade alike.
+	if gap := s.now - d.usedAt; gap != s.fadeGap || s.fade == 0 {
+		s.fadeGap, s.fade = gap, math.Exp(-seconds(gap)/seconds(slotSpan))
+	}
+	d.used = d.used*s.fade + float64(len(d.calls))*seconds(slotSpan)*(1-s.fade)
+	d.usedAt = s.now
 }
 
 // lame tells that a destination is slow, or that at each of its routes the last call failed. With few slots,
@@ -914,7 +933,7 @@
 // one whose calls last long does not get as many slots as a fast one.
 func (s *Sender) release() {
 	s.active = slices.DeleteFunc(s.active, func(d *destination) bool {
-		d.spend(s.now)
+		s.spend(d)
 		d.active = len(d.waiting)+len(d.spares)+len(d.calls) > 0
 		return !d.active
 	})
@@ -1130,7 +1149,7 @@
 		}
 	}
 	for _, o := range group {
-		d.dequeue(o)
+		s.dequeue(o)
 		a := attempt{o.id, o.attempts}
 		s.sent[a], c.sends = sending{o, c}, append(c.sends, a)
 		o.attempts++
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,8 @@
 package choice
 
 import (
+	"cmp"
+	"container/heap"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -16,7 +18,12 @@
 	order   []*destination // in order of first mention, so that nothing hangs on map order
 	eps     map[string]*endpoint
 	msgs    map[string]*message
-	open    []*message // in order of arrival; ended ones are swept out
+	open    int    // messages held; those that have ended count until expire
+	gone    [2]int // messages, and spare ones among them, that have ended since
+	seq     uint64 // of the last message that was held
+	looks   index  // the held by when expire has to look at them
+	deaths  index  // the held by their deadlines
+	waits   int    // messages that wait
 	lines   map[string][]*message
 	rests   map[string]time.Duration // keys at rest until then
 	resting []keyRest                // the same in the order in which they end
@@ -33,7 +40,9 @@
 	asking  time.Duration       // pause before the list is asked for again
 	askAt   time.Duration
 	leaveBy time.Duration // when the process ends; 0 while it stays
-	failing float64       // smoothed share of failures at routes not known to be struck
+	fadeGap time.Duration // of fade: the factor by which slot time fades in that time
+	fade    float64
+	failing float64 // smoothed share of failures at routes not known to be struck
 	actions []Action
 }
 
@@ -139,7 +148,10 @@
 	notBefore time.Duration
 	waits     bool
 	over      bool
-	spare     bool // see Resumed
+	seq       uint64 // in order of arrival; 0 until it is held
+	look      time.Duration
+	slots     [2]int // its places in looks and deaths
+	spare     bool   // see Resumed
 }
 
 // attempt names one Send.
@@ -275,6 +287,7 @@
 		s.active = append(s.active, d)
 	}
 	m.waits = true
+	s.waits++
 	if m.spare {
 		if m.key != "" { // it holds its key's turn only while it is out
 			s.lines[m.key] = slices.DeleteFunc(s.lines[m.key], func(o *message) bool { return o == m })
@@ -293,11 +306,13 @@
 }
 
 // dequeue takes it out again.
-func (d *destination) dequeue(m *message) {
+func (s *Sender) dequeue(m *message) {
 	if !m.waits {
 		return
 	}
 	m.waits = false
+	s.waits--
+	d := m.dest
 	queue := &d.waiting
 	if m.spare {
 		queue = &d.spares
@@ -339,3 +354,91 @@
 		delete(s.lines, key)
 	}
 }
+
+// index is a heap of the held messages, for container/heap. Each message knows its place, so that one that ends or whose
+// time has changed costs no search.
+type index struct {
+	all   []*message
+	which int // of a message's places
+	time  func(*message) time.Duration
+}
+
+func (x *index) Len() int { return len(x.all) }
+
+func (x *index) Less(i, j int) bool {
+	a, b := x.all[i], x.all[j]
+	if ta, tb := x.time(a), x.time(b); ta != tb {
+		return ta < tb
+	}
+	return a.seq < b.seq
+}
+
+func (x *index) Swap(i, j int) {
+	x.all[i], x.all[j] = x.all[j], x.all[i]
+	x.all[i].slots[x.which], x.all[j].slots[x.which] = i, j
+}
+
+// Push is heap.Interface's.
+func (x *index) Push(m any) {
+	m.(*message).slots[x.which] = len(x.all)
+	x.all = append(x.all, m.(*message))
+}
+
+// Pop is heap.Interface's.
+func (x *index) Pop() any {
+	last := len(x.all) - 1
+	m := x.all[last]
+	x.all[last] = nil
+	x.all = x.all[:last]
+	return m
+}
+
+// keep puts a message among the held, and unkeep takes it out once it has ended.
+func (s *Sender) keep(m *message) {
+	s.open++
+	s.seq++
+	m.seq, m.look = s.seq, s.nextLook(m)
+	heap.Push(&s.looks, m)
+	heap.Push(&s.deaths, m)
+}
+
+func (s *Sender) unkeep(m *message) {
+	if m.seq == 0 {
+		return
+	}
+	if m.slots[0] >= 0 { // expire may just have it
+		heap.Remove(&s.looks, m.slots[0])
+	}
+	heap.Remove(&s.deaths, m.slots[1])
+	s.gone[0]++
+	if m.spare {
+		s.gone[1]++
+	}
+}
+
+// lookAgain notes that a message may have to be looked at at another time.
+func (s *Sender) lookAgain(m *message) {
+	if m.seq > 0 && !m.over && m.slots[0] >= 0 {
+		m.look = s.nextLook(m)
+		heap.Fix(&s.looks, m.slots[0])
+	}
+}
+
+// due takes out the messages that are to be looked at now, in order of arrival.
+func (s *Sender) due() []*message {
+	var all []*message
+	for s.looks.Len() > 0 && s.looks.all[0].look <= s.now {
+		m := heap.Pop(&s.looks).(*message)
+		m.slots[0] = -1
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b *message) int { return cmp.Compare(a.seq, b.seq) })
+	return all
+}
+
+// forgetEnded takes the ended out of the counts.
+func (s *Sender) forgetEnded() {
+	s.open -= s.gone[0]
+	s.spares -= s.gone[1]
+	s.gone = [2]int{}
+}
