--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -556,9 +556,11 @@
 func (n *Engine) loop(ctx context.Context, gone <-chan struct{}) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	batch := make([]any, 0, maxBatch)
 	for {
 		timer.Reset(n.untilWake())
-		var batch []any
+		clear(batch) // what it held is not to be kept
+		batch = batch[:0]
 		select {
 		case e := <-n.events:
 			batch = append(batch, e)
@@ -614,7 +616,7 @@
 
 // take turns a batch into the module's events, and steps.
 func (n *Engine) take(ctx context.Context, batch []any) {
-	var events []choice.Event
+	events := make([]choice.Event, 0, len(batch)+1) // one more for a wake
 	fresh := newcomers{}
 	for _, e := range batch {
 		// Before all else: of a message in this batch it is not known yet whether it is taken on.
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -340,10 +340,17 @@
 	return append(b, payload...)
 }
 
-func record(kind byte, seq uint64) []byte { return binary.AppendUvarint([]byte{kind}, seq) }
+// smallRecord is room for all records but those that take a message on.
+const smallRecord = 48
+
+func record(kind byte, seq uint64) []byte { return recordFor(kind, seq, smallRecord) }
+
+func recordFor(kind byte, seq uint64, room int) []byte {
+	return binary.AppendUvarint(append(make([]byte, 0, room), kind), seq)
+}
 
 func acceptedRecord(p *past) []byte {
-	b := record(recAccepted, p.seq)
+	b := recordFor(recAccepted, p.seq, smallRecord+len(p.id)+len(p.key)+len(p.body)+len(p.front))
 	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
 	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
 	b = appendBytes(appendTime(b, p.deadline), p.body)
--- a/internal/plainpath/plainpath_test.go
+++ b/internal/plainpath/plainpath_test.go
@@ -1,10 +1,11 @@
-// Package plainpath measures what one message costs the daemon on its plain path: accepted, sent once, answered. It has
-// a benchmark only.
+// Package plainpath measures what one message costs the daemon on its plain path: accepted, sent once, answered. It has a
+// benchmark, and a guard that fails when a message costs more than limits.json allows.
 package plainpath
 
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +14,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -55,14 +57,27 @@
 	if err != nil {
 		return err
 	}
+	go func() { // asked by a line, it tells what the process has allocated so far
+		for lines := bufio.NewScanner(os.Stdin); lines.Scan(); {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			fmt.Println(m.Mallocs, m.TotalAlloc)
+		}
+	}()
 	return d.Run(context.Background())
 }
 
-// BenchmarkPlainPath hands messages in by 8 connections, 32 deep, for 8 partners that answer at once, and reads the
-// daemon's own CPU time and its read and write system calls from /proc, as the kernel counts them for any process of
-// one's own. Calls other than the read and write families (epoll, accept, futex) are not in those counts.
-// CORALYARD_BINARY names another build's program to measure.
-func BenchmarkPlainPath(b *testing.B) {
+// node is a daemon in a process of its own, with partners that answer at once.
+type node struct {
+	cmd    *exec.Cmd
+	addr   string
+	in     io.Writer
+	out    *bufio.Reader
+	tested testing.TB
+}
+
+func startNode(b testing.TB) *node {
+	b.Helper()
 	d, err := standin.NewDiscovery()
 	if err != nil {
 		b.Fatal(err)
@@ -101,6 +116,14 @@
 	}
 	cmd := exec.Command(program)
 	cmd.Env = append(os.Environ(), "CORALYARD_TEST_CHILD=1", "GOMAXPROCS=2", "ROUTER_CONFIG="+config, "ROUTER_STATE="+b.TempDir())
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
 	if err := cmd.Start(); err != nil {
 		b.Fatal(err)
 	}
@@ -108,20 +131,79 @@
 		cmd.Process.Kill()
 		cmd.Wait()
 	})
-	play(b, listen, 4000) // warms up
-	before := read(b, cmd.Process.Pid)
+	return &node{cmd, listen, in, bufio.NewReader(out), b}
+}
+
+// BenchmarkPlainPath hands messages in by 8 connections, 32 deep, for 8 partners that answer at once, and reads the
+// daemon's own CPU time and its read and write system calls from /proc, as the kernel counts them for any process of
+// one's own. Calls other than the read and write families (epoll, accept, futex, send and receive) are not in those counts.
+// CORALYARD_BINARY names another build's program to measure.
+func BenchmarkPlainPath(b *testing.B) {
+	n := startNode(b)
+	play(b, n.addr, 4000) // warms up
+	before := read(b, n.cmd.Process.Pid)
 	b.ResetTimer()
-	busy := play(b, listen, b.N)
+	busy := play(b, n.addr, b.N)
 	b.StopTimer()
-	after := read(b, cmd.Process.Pid)
-	n := float64(b.N)
-	b.ReportMetric((after.cpu-before.cpu).Seconds()*1e6/n, "cpu-us/msg")
-	b.ReportMetric(float64(after.calls-before.calls)/n, "rw-calls/msg")
-	b.ReportMetric(float64(busy)/n, "busy/msg")
+	after := read(b, n.cmd.Process.Pid)
+	messages := float64(b.N)
+	b.ReportMetric((after.cpu-before.cpu).Seconds()*1e6/messages, "cpu-us/msg")
+	b.ReportMetric(float64(after.calls-before.calls)/messages, "rw-calls/msg")
+	b.ReportMetric(float64(busy)/messages, "busy/msg")
+}
+
+// allocated asks the daemon for the number and the bytes of its allocations.
+func (n *node) allocated() (count, size float64) {
+	n.tested.Helper()
+	if _, err := io.WriteString(n.in, "?\n"); err != nil {
+		n.tested.Fatal(err)
+	}
+	if _, err := fmt.Fscan(n.out, &count, &size); err != nil {
+		n.tested.Fatal(err)
+	}
+	return count, size
+}
+
+// guardVariable has TestCost run: it needs a build without the race detector, under which pools drop what they hold.
+const guardVariable = "CORALYARD_GUARD"
+
+// TestCost counts what a message costs, which repeats as times do not, and fails above the limits in limits.json. .ci/run
+// runs it.
+func TestCost(t *testing.T) {
+	if os.Getenv(guardVariable) == "" {
+		t.Skip(guardVariable + " is not set")
+	}
+	text, err := os.ReadFile("limits.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var limits map[string]float64
+	if err := json.Unmarshal(text, &limits); err != nil {
+		t.Fatal(err)
+	}
+	n := startNode(t)
+	play(t, n.addr, 4000)
+	const messages = 20_000
+	count, size := n.allocated()
+	calls := read(t, n.cmd.Process.Pid).calls
+	if busy := play(t, n.addr, messages); busy > 0 {
+		t.Fatalf("%d messages were refused", busy)
+	}
+	calls = read(t, n.cmd.Process.Pid).calls - calls
+	count2, size2 := n.allocated()
+	for name, got := range map[string]float64{
+		"read and write calls": float64(calls) / messages, "allocations": (count2 - count) / messages, "allocated bytes": (size2 - size) / messages,
+	} {
+		limit, ok := limits[name]
+		t.Logf("%s a message: %.2f, %.2f at most", name, got, limit)
+		if !ok || got > limit {
+			t.Errorf("%s a message: %.2f, %.2f at most", name, got, limit)
+		}
+	}
 }
 
 // play hands n messages in, and returns how many were refused.
-func play(b *testing.B, addr string, n int) int {
+func play(b testing.TB, addr string, n int) int {
 	b.Helper()
 	var all sync.WaitGroup
 	var mu sync.Mutex
@@ -183,7 +265,7 @@
 	calls int64 // of the read and write families
 }
 
-func read(b *testing.B, pid int) counts {
+func read(b testing.TB, pid int) counts {
 	b.Helper()
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
