One opener of bbolt files, one list of file faults, one reader of header fields

The last reading found pieces written twice, and a fix made in one place only: the store of undelivered messages refuses a file that is cut short, while the AS2 ledger left that to bbolt, whose mapped memory ends the process there.

--- a/as2/carrier/bench_test.go
+++ b/as2/carrier/bench_test.go
@@ -17,12 +17,9 @@
 // benchRig is a bank that signs with P-256, and a carrier to it.
 func benchRig(b *testing.B, async bool, hold <-chan struct{}) (*Carrier, *as2bank.Bank) {
 	b.Helper()
-	var k [3]as2.Key
-	for i := range k {
-		var err error
-		if k[i], err = as2bank.NewKey(fmt.Sprint("key ", i), true); err != nil {
-			b.Fatal(err)
-		}
+	k, err := as2bank.NewKeys(true, "us", "bank", "other")
+	if err != nil {
+		b.Fatal(err)
 	}
 	bank, err := as2bank.New("Bank One", "us", k[0].Cert, k[1], k[2])
 	if err != nil {
--- a/as2/carrier/carrier.go
+++ b/as2/carrier/carrier.go
@@ -166,9 +166,7 @@
 		return refused(err)
 	}
 	req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(sealed.Body)), int64(len(sealed.Body))
-	for _, f := range sealed.Header {
-		req.Header[f.Name] = []string{f.Value}
-	}
+	as2.Put(req.Header, sealed.Header)
 	req.Header.Set("User-Agent", "coralyard")
 	req.Header.Set("X-Trace-Id", a.ID)
 	if a.Key != "" {
@@ -209,7 +207,7 @@
 	defer resp.Body.Close()
 	heard := time.Now()
 	body, readErr := io.ReadAll(io.LimitReader(resp.Body, int64(c.o.Limits.Body)+1))
-	header := fields(resp.Header)
+	header := as2.Fields(resp.Header)
 	proof, why := as2.Unproven, fmt.Sprint("the receipt ends too early: ", readErr)
 	if readErr == nil {
 		proof, why = as2.JudgeAnswer(sent, resp.StatusCode, header, body, link.Partner.At(heard), c.o.Limits)
@@ -280,16 +278,6 @@
 	return delivery.Result{Outcome: choice.Cut, Err: err}
 }
 
-func fields(h http.Header) []as2.Field {
-	var all []as2.Field
-	for name, values := range h {
-		for _, v := range values {
-			all = append(all, as2.Field{Name: name, Value: v})
-		}
-	}
-	return all
-}
-
 // TakeReceipt takes a receipt that has come by itself. It returns an error if it proves nothing, and as2.ErrNoMDN if it is
 // none.
 func (c *Carrier) TakeReceipt(header []as2.Field, body []byte, from as2.Partner) error {
--- a/as2/carrier/carrier_test.go
+++ b/as2/carrier/carrier_test.go
@@ -22,17 +22,7 @@
 const patience = 30 * time.Second // for what must happen; nothing is asserted of how fast
 
 // keys are shared, since making them takes long: ours, the bank's, and another partner's.
-var keys = sync.OnceValues(func() ([]as2.Key, error) {
-	var all []as2.Key
-	for _, name := range []string{"us", "bank", "other"} {
-		k, err := as2bank.NewKey(name, false)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, k)
-	}
-	return all, nil
-})
+var keys = sync.OnceValues(func() ([]as2.Key, error) { return as2bank.NewKeys(false, "us", "bank", "other") })
 
 // rig is a bank, and a carrier to it with the address where receipts come by themselves.
 type rig struct {
@@ -72,7 +62,7 @@
 		if err != nil {
 			return
 		}
-		if err = c().TakeReceipt(fields(req.Header), body, from); err != nil {
+		if err = c().TakeReceipt(as2.Fields(req.Header), body, from); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 		}
 		told(err)
--- a/as2/entity.go
+++ b/as2/entity.go
@@ -34,6 +34,24 @@
 // Field is one of a header.
 type Field struct{ Name, Value string }
 
+// Fields are those of a header as net/http has it.
+func Fields(header map[string][]string) []Field {
+	all := make([]Field, 0, len(header))
+	for name, values := range header {
+		for _, v := range values {
+			all = append(all, Field{name, v})
+		}
+	}
+	return all
+}
+
+// Put sets the fields in a header as net/http has it.
+func Put(header map[string][]string, fields []Field) {
+	for _, f := range fields {
+		header[f.Name] = []string{f.Value}
+	}
+}
+
 // Entity is a MIME entity (RFC 2045): a header, and a body as its Content-Transfer-Encoding has it.
 type Entity struct {
 	Header []Field
--- a/as2/ledger/ledger.go
+++ b/as2/ledger/ledger.go
@@ -13,6 +13,7 @@
 
 	"starlingusher/as2"
 	"starlingusher/delivery"
+	"starlingusher/internal/boltfile"
 )
 
 // Sent is a message that was sent, at least once.
@@ -48,9 +49,7 @@
 }
 
 // ErrDamaged says that the file can't be read as a ledger.
-var ErrDamaged = errors.New("the ledger is damaged")
-
-const lockTime = 100 * time.Millisecond
+var ErrDamaged = boltfile.ErrDamaged
 
 var (
 	sentBucket     = []byte("sent")     // Message-ID -> Sent
@@ -61,34 +60,26 @@
 
 // Ledger is a file. It may be used by many goroutines at a time. Like the journal it is not synced: what a process has
 // written outlasts it.
-type Ledger struct{ db *bbolt.DB }
+type Ledger struct{ file *boltfile.File }
 
-// Open opens or makes the ledger.
-func Open(path string) (_ *Ledger, err error) {
-	defer func() { // bbolt panics on some files that are none
-		if r := recover(); r != nil {
-			err = fmt.Errorf("as2: %s: %w: %v", path, ErrDamaged, r)
-		}
-	}()
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockTime, NoSync: true, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType})
-	if err != nil {
-		return nil, fmt.Errorf("as2: ledger %s: %w", path, err)
-	}
-	if err := db.Update(func(tx *bbolt.Tx) error {
+// Open opens or makes the ledger. A file that is torn is an error that names it.
+func Open(path string) (*Ledger, error) {
+	f, err := boltfile.Open(path, false, func(tx *bbolt.Tx) error {
 		for _, name := range [][]byte{sentBucket, receivedBucket, engineBucket, owedBucket} {
 			if _, err := tx.CreateBucketIfNotExists(name); err != nil {
 				return err
 			}
 		}
 		return nil
-	}); err != nil {
-		return nil, errors.Join(fmt.Errorf("as2: ledger %s: %w", path, err), db.Close())
+	})
+	if err != nil {
+		return nil, fmt.Errorf("as2: ledger: %w", err)
 	}
-	return &Ledger{db}, nil
+	return &Ledger{f}, nil
 }
 
 // Close gives the file back.
-func (l *Ledger) Close() error { return l.db.Close() }
+func (l *Ledger) Close() error { return l.file.Close() }
 
 func read[T any](tx *bbolt.Tx, bucket, key []byte) (v T, found bool, err error) {
 	text := tx.Bucket(bucket).Get(key)
@@ -112,7 +103,7 @@
 // Sending notes that a message is about to be sent, before its first byte, and returns what is known of it. A repeat
 // adds its MIC, if that is another one.
 func (l *Ledger) Sending(s Sent, now time.Time) (known Sent, err error) {
-	err = l.db.Update(func(tx *bbolt.Tx) error {
+	err = l.file.Update(func(tx *bbolt.Tx) error {
 		before, found, err := read[Sent](tx, sentBucket, []byte(s.ID))
 		if err != nil {
 			return err
@@ -139,7 +130,7 @@
 
 // Sent returns what is known of a message that was sent.
 func (l *Ledger) Sent(id string) (s Sent, found bool, err error) {
-	err = l.db.View(func(tx *bbolt.Tx) error {
+	err = l.file.View(func(tx *bbolt.Tx) error {
 		s, found, err = read[Sent](tx, sentBucket, []byte(id))
 		return err
 	})
@@ -148,7 +139,7 @@
 
 // Each hands the messages that were sent on to do until it returns false. do must not use the ledger.
 func (l *Ledger) Each(do func(Sent) bool) error {
-	return l.db.View(func(tx *bbolt.Tx) error {
+	return l.file.View(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(sentBucket).Cursor()
 		for k, v := c.First(); k != nil; k, v = c.Next() {
 			var s Sent
@@ -166,7 +157,7 @@
 // Prove keeps what a receipt has proven of a message. What is kept once stays: a receipt that comes again, or another one,
 // changes nothing. It returns what is kept.
 func (l *Ledger) Prove(id string, p Proof) (kept Proof, err error) {
-	err = l.db.Update(func(tx *bbolt.Tx) error {
+	err = l.file.Update(func(tx *bbolt.Tx) error {
 		s, found, err := read[Sent](tx, sentBucket, []byte(id))
 		switch {
 		case err != nil:
@@ -188,7 +179,7 @@
 // Receive keeps a message that was taken, with its receipt. One that is known already keeps the receipt that it has, which
 // is returned.
 func (l *Ledger) Receive(r Received) (kept Received, err error) {
-	err = l.db.Update(func(tx *bbolt.Tx) error {
+	err = l.file.Update(func(tx *bbolt.Tx) error {
 		key := receivedKey(r.Partner, r.ID)
 		before, found, err := read[Received](tx, receivedBucket, key)
 		if err != nil {
@@ -211,7 +202,7 @@
 
 // Known tells whether a message that was taken is kept, by the engine's id of it.
 func (l *Ledger) Known(engine string) (known bool, err error) {
-	err = l.db.View(func(tx *bbolt.Tx) error {
+	err = l.file.View(func(tx *bbolt.Tx) error {
 		known = tx.Bucket(engineBucket).Get([]byte(engine)) != nil
 		return nil
 	})
@@ -220,7 +211,7 @@
 
 // Received returns a message that was taken.
 func (l *Ledger) Received(partner, id string) (r Received, found bool, err error) {
-	err = l.db.View(func(tx *bbolt.Tx) error {
+	err = l.file.View(func(tx *bbolt.Tx) error {
 		r, found, err = read[Received](tx, receivedBucket, receivedKey(partner, id))
 		return err
 	})
@@ -229,7 +220,7 @@
 
 // Owed returns the messages whose receipts are still to be posted, so many at most.
 func (l *Ledger) Owed(most int) (all []Received, err error) {
-	err = l.db.View(func(tx *bbolt.Tx) error {
+	err = l.file.View(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(owedBucket).Cursor()
 		for k, _ := c.First(); k != nil && len(all) < most; k, _ = c.Next() {
 			r, found, err := read[Received](tx, receivedBucket, k)
@@ -247,18 +238,18 @@
 
 // Owe has a message's receipt posted, again where it was before.
 func (l *Ledger) Owe(partner, id string) error {
-	return l.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(owedBucket).Put(receivedKey(partner, id), nil) })
+	return l.file.Update(func(tx *bbolt.Tx) error { return tx.Bucket(owedBucket).Put(receivedKey(partner, id), nil) })
 }
 
 // Posted says that a receipt has been taken by its partner.
 func (l *Ledger) Posted(partner, id string) error {
-	return l.db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(owedBucket).Delete(receivedKey(partner, id)) })
+	return l.file.Update(func(tx *bbolt.Tx) error { return tx.Bucket(owedBucket).Delete(receivedKey(partner, id)) })
 }
 
 // Forget drops what was sent or taken before a time and is not owed any more, and returns how much that was. A message
 // that comes again after that has a second effect, so the time is longer than any partner repeats.
 func (l *Ledger) Forget(before time.Time) (gone int, err error) {
-	err = l.db.Update(func(tx *bbolt.Tx) error {
+	err = l.file.Update(func(tx *bbolt.Tx) error {
 		var old [][2][]byte
 		sent := tx.Bucket(sentBucket).Cursor()
 		for k, v := sent.First(); k != nil; k, v = sent.Next() {
--- a/as2/ledger/ledger_test.go
+++ b/as2/ledger/ledger_test.go
@@ -1,6 +1,8 @@
 package ledger
 
 import (
+	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -112,3 +114,24 @@
 		t.Error("it was opened")
 	}
 }
+
+// A file that is cut short is an error, where bbolt's mapped memory would end the process.
+func TestAFileThatIsCutShort(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "as2.db")
+	l := open(t, path)
+	for i := range 200 {
+		if _, err := l.Sending(sent(fmt.Sprintf("<%d>", i), 1), noon); err != nil {
+			t.Fatal(err)
+		}
+	}
+	l.Close()
+	if err := os.Truncate(path, 16<<10); err != nil {
+		t.Fatal(err)
+	}
+	if l, err := Open(path); !errors.Is(err, ErrDamaged) {
+		t.Errorf("got %v", err)
+		if err == nil {
+			l.Close()
+		}
+	}
+}
--- a/as2/message.go
+++ b/as2/message.go
@@ -361,8 +361,7 @@
 				digest = d
 			}
 		default:
-			switch {
-			case from.Sign && !o.Signed:
+			if from.Sign && !o.Signed {
 				return nil, problem(InsufficientSecurity, errors.New("it is not signed"))
 			}
 			if digest == "" {
--- a/as2/server/server.go
+++ b/as2/server/server.go
@@ -120,12 +120,7 @@
 		http.Error(w, "the message is too large, or did not come whole", http.StatusRequestEntityTooLarge)
 		return
 	}
-	header := make([]as2.Field, 0, len(r.Header))
-	for name, values := range r.Header {
-		for _, v := range values {
-			header = append(header, as2.Field{Name: name, Value: v})
-		}
-	}
+	header := as2.Fields(r.Header)
 	if kind := strings.ToLower(r.Header.Get("Content-Type")); s.o.TakeReceipt != nil &&
 		(strings.HasPrefix(kind, "multipart/report") || strings.HasPrefix(kind, "multipart/signed")) {
 		switch err := s.o.TakeReceipt(header, body, l.Partner); {
@@ -283,9 +278,7 @@
 }
 
 func put(w http.ResponseWriter, header []as2.Field, body []byte) {
-	for _, f := range header {
-		w.Header()[f.Name] = []string{f.Value}
-	}
+	as2.Put(w.Header(), header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(http.StatusOK)
 	w.Write(body) // a partner that does not get it asks again
@@ -388,9 +381,7 @@
 	if err != nil {
 		return err
 	}
-	for _, f := range header {
-		req.Header[f.Name] = []string{f.Value}
-	}
+	as2.Put(req.Header, header)
 	resp, err := s.o.Client.Do(req)
 	if err != nil {
 		return err
--- a/as2/server/server_test.go
+++ b/as2/server/server_test.go
@@ -24,17 +24,7 @@
 
 const patience = 30 * time.Second // for what must happen; nothing is asserted of how fast
 
-var keys = sync.OnceValues(func() ([]as2.Key, error) {
-	var all []as2.Key
-	for _, name := range []string{"us", "bank", "other"} {
-		k, err := as2bank.NewKey(name, false)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, k)
-	}
-	return all, nil
-})
+var keys = sync.OnceValues(func() ([]as2.Key, error) { return as2bank.NewKeys(false, "us", "bank", "other") })
 
 // inside is the system that messages go on to.
 type inside struct {
@@ -150,9 +140,7 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	for _, f := range s.Header {
-		req.Header[f.Name] = []string{f.Value}
-	}
+	as2.Put(req.Header, s.Header)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		r.t.Fatal(err)
@@ -167,12 +155,8 @@
 // judge is what the bank makes of an answer.
 func (r *rig) judge(s *as2.Sealed, id string, status int, header http.Header, body []byte) (as2.Proof, string) {
 	k, _ := keys()
-	var all []as2.Field
-	for name, v := range header {
-		all = append(all, as2.Field{Name: name, Value: v[0]})
-	}
 	return as2.JudgeAnswer(as2.Sent{ID: id, From: "Bank One", To: "us", MICs: []as2.MIC{s.MIC}, Receipt: as2.Receipt{Want: true, Signed: true}},
-		status, all, body, as2.Partner{ID: "us", Certs: k1(k[0])}, as2.DefaultLimits())
+		status, as2.Fields(header), body, as2.Partner{ID: "us", Certs: k1(k[0])}, as2.DefaultLimits())
 }
 
 // A message goes on once, and gets the very same receipt each time, in the next life too.
--- a/as2/setup/setup.go
+++ b/as2/setup/setup.go
@@ -22,6 +22,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"starlingusher/as2"
+	"starlingusher/internal/filefault"
 )
 
 const (
@@ -31,25 +32,8 @@
 	soon    = 30 * 24 * time.Hour
 )
 
-// Problem is one fault of a file.
-type Problem struct {
-	Line int
-	Text string
-}
-
-// FileError lists all the problems of a file, in the order of their lines.
-type FileError struct {
-	File     string
-	Problems []Problem
-}
-
-func (e *FileError) Error() string {
-	lines := make([]string, 0, len(e.Problems))
-	for _, p := range e.Problems {
-		lines = append(lines, fmt.Sprintf("%s:%d: %s", e.File, p.Line, p.Text))
-	}
-	return strings.Join(lines, "\n")
-}
+// FileError lists all the problems of a file.
+type FileError = filefault.FileError
 
 // Partner is one that messages are exchanged with.
 type Partner struct {
@@ -102,8 +86,7 @@
 	p := &parser{dir: filepath.Dir(path), o: o}
 	f := p.file(text)
 	if len(p.problems) > 0 {
-		slices.SortStableFunc(p.problems, func(a, b Problem) int { return a.Line - b.Line })
-		return nil, &FileError{path, p.problems}
+		return nil, filefault.New(path, p.problems)
 	}
 	return f, nil
 }
@@ -111,12 +94,12 @@
 type parser struct {
 	dir      string
 	o        Options
-	problems []Problem
+	problems []filefault.Problem
 	warnings []string
 }
 
 func (p *parser) fail(line int, format string, args ...any) {
-	p.problems = append(p.problems, Problem{line, fmt.Sprintf(format, args...)})
+	p.problems = append(p.problems, filefault.Problem{Line: line, Text: fmt.Sprintf(format, args...)})
 }
 
 // The file's form.
@@ -225,18 +208,9 @@
 		words = t.Errors
 	}
 	for _, w := range words {
-		w = strings.TrimPrefix(w, "yaml: ")
-		line := 1
-		if rest, ok := strings.CutPrefix(w, "line "); ok {
-			number, tail, _ := strings.Cut(rest, ": ")
-			if _, err := fmt.Sscan(number, &line); err == nil {
-				w = tail
-			}
-		}
-		if before, _, ok := strings.Cut(w, " in type "); ok { // the name of a Go type says nothing to an operator
-			w = before
-		}
-		p.fail(line, "%s", w)
+		problem := filefault.Words(w)
+		text, _, _ := strings.Cut(problem.Text, " in type ") // the name of a Go type says nothing to an operator
+		p.fail(max(problem.Line, 1), "%s", text)
 	}
 }
 
--- a/choice/bench_test.go
+++ b/choice/bench_test.go
@@ -47,7 +47,7 @@
 	}
 	asked := len(w.wakes)
 	w.step(time.Minute, Rang{})
-	if len(w.wakes) != asked || len(w.s.active) != 0 || w.s.open != 0 {
+	if len(w.wakes) != asked || len(w.s.active) != 0 || w.s.open() != 0 {
 		t.Errorf("%d wakes asked for while idle, %d destinations walked", len(w.wakes)-asked, len(w.s.active))
 	}
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -308,7 +308,7 @@
 // admit asks the gate, at arrival. Beside the paper's ratio stand two departures: the deadline bounds, and
 // a share of the room for held messages, since one backlog must not turn everybody else's messages away.
 func (s *Sender) admit(d *destination, m *message) bool {
-	if s.cfg.MaxOpen > 0 && len(d.waiting) > s.cfg.MaxOpen-s.open+s.spares {
+	if s.cfg.MaxOpen > 0 && len(d.waiting) > s.cfg.MaxOpen-s.open() {
 		return false
 	}
 	if d.gate.accepts(d.gate.average, seconds(m.class.Deadline)) {
@@ -445,7 +445,7 @@
 			heap.Push(&s.looks, m)
 		}
 	}
-	s.forgetEnded()
+	s.gone = 0
 }
 
 // nextLook is when expire has to look at a message next: while it is out, only its deadline ends it.
--- a/choice/state.go
+++ b/choice/state.go
@@ -18,8 +18,7 @@
 	order   []*destination // in order of first mention, so that nothing hangs on map order
 	eps     map[string]*endpoint
 	msgs    map[string]*message
-	open    int    // messages held; those that have ended count until expire
-	gone    [2]int // messages, and spare ones among them, that have ended since
+	gone    int    // messages, no spare ones, that have ended since expire
 	seq     uint64 // of the last message that was held
 	looks   index  // the held by when expire has to look at them
 	deaths  index  // the held by their deadlines
@@ -395,7 +394,6 @@
 
 // keep puts a message among the held, and unkeep takes it out once it has ended.
 func (s *Sender) keep(m *message) {
-	s.open++
 	s.seq++
 	m.seq, m.look = s.seq, s.nextLook(m)
 	heap.Push(&s.looks, m)
@@ -410,9 +408,10 @@
 		heap.Remove(&s.looks, m.slots[0])
 	}
 	heap.Remove(&s.deaths, m.slots[1])
-	s.gone[0]++
 	if m.spare {
-		s.gone[1]++
+		s.spares--
+	} else {
+		s.gone++
 	}
 }
 
@@ -436,9 +435,5 @@
 	return all
 }
 
-// forgetEnded takes the ended out of the counts.
-func (s *Sender) forgetEnded() {
-	s.open -= s.gone[0]
-	s.spares -= s.gone[1]
-	s.gone = [2]int{}
-}
+// open is how many messages are held that are not spare. The ended count until expire.
+func (s *Sender) open() int { return s.deaths.Len() - s.spares + s.gone }
--- a/cmd/coralyard/as2_test.go
+++ b/cmd/coralyard/as2_test.go
@@ -45,12 +45,9 @@
 func newAS2Site(t *testing.T, banks int, receipt func(i int) string) *as2Site {
 	t.Helper()
 	s := &as2Site{site: newSite(t, 1, nil)}
-	for _, name := range []string{"us", "bank", "other"} {
-		k, err := as2bank.NewKey(name, true)
-		if err != nil {
-			t.Fatal(err)
-		}
-		s.keys = append(s.keys, k)
+	var err error
+	if s.keys, err = as2bank.NewKeys(true, "us", "bank", "other"); err != nil {
+		t.Fatal(err)
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -330,9 +327,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	for _, f := range sealed.Header {
-		req.Header[f.Name] = []string{f.Value}
-	}
+	as2.Put(req.Header, sealed.Header)
 	req.Close = true
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -179,7 +179,6 @@
 		return nil, err
 	}
 	n.journal = j
-	j.detail = cfg.Keeper != nil
 	if err := n.check(); err != nil {
 		n.closeAll()
 		return nil, err
@@ -1070,7 +1069,7 @@
 		e.Close()
 	}
 	name, now, endpoint := attempt{p.seq, len(p.sends)}, time.Now(), ""
-	if n.journal.detail {
+	if n.cfg.Keeper != nil {
 		endpoint = e.ID
 	}
 	n.journal.add(attemptRecord(p.seq, now, e.zone, endpoint))
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -133,7 +133,6 @@
 	live    map[uint64]*past
 	held    int64  // sum of the sizes of what is live
 	lent    int64  // the part of it that further lives take
-	detail  bool   // attempts are noted with their endpoints
 	pending []byte // records not yet in the file
 	next    uint64
 	broken  bool // the file lacks records of what is live; only a new file will do
@@ -249,6 +248,19 @@
 
 func (f *fields) time() time.Time { return time.UnixMicro(int64(f.number())) }
 
+// message reads what all records begin with that take a message on; messageRecord writes it.
+func (f *fields) message(seq uint64) *past {
+	return &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
+		deadline: f.time(), body: f.bytes()}
+}
+
+func messageRecord(kind byte, p *past) []byte {
+	b := recordFor(kind, p.seq, smallRecord+len(p.id)+len(p.key)+len(p.body)+len(p.front))
+	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
+	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
+	return appendBytes(appendTime(b, p.deadline), p.body)
+}
+
 func appendBytes(b, v []byte) []byte {
 	return append(binary.AppendUvarint(b, uint64(len(v))), v...)
 }
@@ -268,8 +280,7 @@
 	}
 	switch payload[0] {
 	case recAccepted:
-		p = &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
-			deadline: f.time(), body: f.bytes()}
+		p = f.message(seq)
 		if len(f.b) > 0 { // builds up to 40fe13b wrote nothing more, and messages of the nameless front need nothing
 			p.front = string(f.bytes())
 			p.keep = f.number() == 1
@@ -279,8 +290,8 @@
 			j.held += p.size()
 		}
 	case recAgain:
-		p = &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
-			deadline: f.time(), body: f.bytes(), front: string(f.bytes()), first: f.time()}
+		p = f.message(seq)
+		p.front, p.first = string(f.bytes()), f.time()
 		if f.number() == 1 {
 			p.mayRun, p.mayZone = f.time(), int(f.number())
 		}
@@ -350,10 +361,7 @@
 }
 
 func acceptedRecord(p *past) []byte {
-	b := recordFor(recAccepted, p.seq, smallRecord+len(p.id)+len(p.key)+len(p.body)+len(p.front))
-	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
-	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
-	b = appendBytes(appendTime(b, p.deadline), p.body)
+	b := messageRecord(recAccepted, p)
 	if p.front == "" && !p.keep {
 		return b
 	}
@@ -366,11 +374,7 @@
 }
 
 func againRecord(p *past) []byte {
-	b := record(recAgain, p.seq)
-	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
-	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
-	b = appendBytes(appendBytes(appendTime(b, p.deadline), p.body), []byte(p.front))
-	b = appendTime(b, p.first)
+	b := appendTime(appendBytes(messageRecord(recAgain, p), []byte(p.front)), p.first)
 	if p.mayRun.IsZero() {
 		return append(b, 0)
 	}
--- a/internal/conformance/as2_test.go
+++ b/internal/conformance/as2_test.go
@@ -16,14 +16,7 @@
 )
 
 // as2Keys are ours and the partners', shared since making them takes long.
-var as2Keys = sync.OnceValues(func() ([2]as2.Key, error) {
-	us, err := as2bank.NewKey("us", true)
-	if err != nil {
-		return [2]as2.Key{}, err
-	}
-	bank, err := as2bank.NewKey("bank", true)
-	return [2]as2.Key{us, bank}, err
-})
+var as2Keys = sync.OnceValues(func() ([]as2.Key, error) { return as2bank.NewKeys(true, "us", "bank") })
 
 // as2Form is the daemon with partners that take AS2 messages, and that promise not to look at what they turn away.
 type as2Form struct{ daemonForm }
@@ -46,14 +39,10 @@
 }
 
 // as2Reply is a partner's receipt; a message that it can't read gets none.
-func as2Reply(c standin.Call, keys [2]as2.Key) (string, []byte) {
+func as2Reply(c standin.Call, keys []as2.Key) (string, []byte) {
 	get := func(name string) string { return strings.Trim(strings.Join(c.Header[name], ""), `"`) }
-	var header []as2.Field
-	for name, v := range c.Header {
-		header = append(header, as2.Field{Name: name, Value: v[0]})
-	}
 	us := as2.Partner{ID: get("As2-From"), Certs: []*x509.Certificate{keys[0].Cert}, Sign: true}
-	o, err := as2.Open(header, c.Body, us, nil, "", as2.DefaultLimits())
+	o, err := as2.Open(as2.Fields(c.Header), c.Body, us, nil, "", as2.DefaultLimits())
 	if err != nil {
 		return "", nil
 	}
--- a/internal/standin/as2bank/bank.go
+++ b/internal/standin/as2bank/bank.go
@@ -85,6 +85,19 @@
 	return as2.Key{Cert: cert, Key: key}, err
 }
 
+// NewKeys makes a key for each name.
+func NewKeys(ec bool, names ...string) ([]as2.Key, error) {
+	var all []as2.Key
+	for _, name := range names {
+		k, err := NewKey(name, ec)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, k)
+	}
+	return all, nil
+}
+
 // Bank is the stand-in. It may be used by many goroutines at a time.
 type Bank struct {
 	Name  string
@@ -191,10 +204,7 @@
 	if script != nil {
 		s = script(id)
 	}
-	var header []as2.Field
-	for name, values := range r.Header {
-		header = append(header, as2.Field{Name: name, Value: values[0]})
-	}
+	header := as2.Fields(r.Header)
 	if s.Fault == Busy {
 		b.note(id, "", false)
 		w.Header().Set("Retry-After", "1")
@@ -305,9 +315,7 @@
 		status = http.StatusInternalServerError
 	}
 	if post == "" {
-		for _, f := range sealed.Header {
-			w.Header()[f.Name] = []string{f.Value}
-		}
+		as2.Put(w.Header(), sealed.Header)
 		w.WriteHeader(status)
 		w.Write(sealed.Body)
 		return
@@ -338,9 +346,7 @@
 	if err != nil {
 		return 0
 	}
-	for _, f := range sealed.Header {
-		req.Header[f.Name] = []string{f.Value}
-	}
+	as2.Put(req.Header, sealed.Header)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
--- a/undelivered/recovery/desk.go
+++ b/undelivered/recovery/desk.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
@@ -308,5 +307,3 @@
 
 func (t told) Error() string { return t.text }
 func (t told) Unwrap() error { return t.kind }
-
-var errSocketPath = fmt.Errorf("a socket's path may have %d bytes at most", maxSocketPath)
--- a/undelivered/recovery/recovery.go
+++ b/undelivered/recovery/recovery.go
@@ -239,18 +239,11 @@
 	for i := range lost {
 		entries, bodies = append(entries, s.entry(&lost[i])), append(bodies, lost[i].Body)
 	}
-	s.writing.Lock()
-	defer s.writing.Unlock()
-	err := s.rewrite()
-	if err == nil {
-		err = s.store.Keep(entries, bodies)
-	}
-	if err != nil { // what fits, one by one
-		err = nil
-		for i := range entries {
-			err = errors.Join(err, s.write(unkept{entry: &entries[i], body: bodies[i]}))
-		}
+	all := make([]unkept, 0, len(lost))
+	for i := range entries {
+		all = append(all, unkept{entry: &entries[i], body: bodies[i]})
 	}
+	err := s.writeAll(all, func() error { return s.store.Keep(entries, bodies) })
 	for i := range entries {
 		if lost[i].Again {
 			if len(lost[i].Tried) == 0 {
@@ -269,18 +262,11 @@
 	for _, r := range refs {
 		all = append(all, undelivered.Ref(r))
 	}
-	s.writing.Lock()
-	defer s.writing.Unlock()
-	err := s.rewrite()
-	if err == nil {
-		err = s.store.Deliver(all...)
-	}
-	if err != nil {
-		err = nil
-		for _, r := range all {
-			err = errors.Join(err, s.write(unkept{delivered: r}))
-		}
+	news := make([]unkept, 0, len(refs))
+	for _, r := range all {
+		news = append(news, unkept{delivered: r})
 	}
+	err := s.writeAll(news, func() error { return s.store.Deliver(all...) })
 	for _, r := range all {
 		s.over(r)
 	}
@@ -299,6 +285,20 @@
 	maxUnkeptBytes = 16 << 20
 )
 
+// writeAll has the store take news at once, or what it can of them one by one.
+func (s *Service) writeAll(news []unkept, atOnce func() error) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	if s.rewrite() == nil && atOnce() == nil {
+		return nil
+	}
+	var err error
+	for _, u := range news {
+		err = errors.Join(err, s.write(u))
+	}
+	return err
+}
+
 // write has the store take news, or holds on to it until it does: a full disk may have room again. What the store
 // refuses for its budget is not held.
 func (s *Service) write(u unkept) error {
--- a/undelivered/recovery/schedule.go
+++ b/undelivered/recovery/schedule.go
@@ -202,7 +202,7 @@
 			}
 		}
 	}
-	if a, ran := r.MayHaveRun(); ran && standing == rules.Free {
+	if a, _, ran := r.MayHaveRun(); ran && standing == rules.Free {
 		l.MayRun, l.Zone = a.At, a.Zone
 	}
 	return s.engine.Resend(e.Front, l)
--- a/undelivered/recovery/socket.go
+++ b/undelivered/recovery/socket.go
@@ -25,12 +25,20 @@
 	socketTime    = 30 * time.Second // for a request to come, and for a reader that does not read
 )
 
+func socketPath(folder string) (string, error) {
+	path := filepath.Join(folder, socketName)
+	if len(path) > maxSocketPath {
+		return "", fmt.Errorf("undelivered: %s: a socket's path may have %d bytes at most", path, maxSocketPath)
+	}
+	return path, nil
+}
+
 // listen opens the socket in the folder for its owner alone. The node has locked the folder, so that what stands there
 // is left over from a process that has ended.
 func listen(folder string) (net.Listener, error) {
-	path := filepath.Join(folder, socketName)
-	if len(path) > maxSocketPath {
-		return nil, fmt.Errorf("undelivered: %s: %w", path, errSocketPath)
+	path, err := socketPath(folder)
+	if err != nil {
+		return nil, err
 	}
 	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("undelivered: %w", err)
@@ -184,9 +192,9 @@
 
 // Dial returns the Access to the node that runs on a state folder, or an error that wraps ErrNotServing.
 func Dial(folder string) (*Client, error) {
-	path := filepath.Join(folder, socketName)
-	if len(path) > maxSocketPath {
-		return nil, fmt.Errorf("undelivered: %s: %w", path, errSocketPath)
+	path, err := socketPath(folder)
+	if err != nil {
+		return nil, err
 	}
 	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
 		return (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "unix", path)
@@ -256,10 +264,10 @@
 		return err
 	}
 	defer body.Close()
-	in2 := json.NewDecoder(bufio.NewReaderSize(body, 64<<10))
+	entries := json.NewDecoder(bufio.NewReaderSize(body, 64<<10))
 	for {
 		var l line
-		if err := in2.Decode(&l); err != nil {
+		if err := entries.Decode(&l); err != nil {
 			return fmt.Errorf("undelivered: the node's list ends before its end: %w", err)
 		}
 		switch {
--- a/undelivered/rules/parse.go
+++ b/undelivered/rules/parse.go
@@ -11,6 +11,8 @@
 	_ "time/tzdata" // a node may have no data of its own
 
 	"go.yaml.in/yaml/v3"
+
+	"starlingusher/internal/filefault"
 )
 
 const (
@@ -23,29 +25,8 @@
 	defaultAge                 = 30 * 24 * time.Hour
 )
 
-// Problem is one fault of a rules file.
-type Problem struct {
-	Line int // 0 for the file as a whole
-	Text string
-}
-
-// FileError lists all the problems of a file, in the order of their lines.
-type FileError struct {
-	File     string
-	Problems []Problem
-}
-
-func (e *FileError) Error() string {
-	lines := make([]string, 0, len(e.Problems))
-	for _, p := range e.Problems {
-		if p.Line == 0 {
-			lines = append(lines, fmt.Sprintf("%s: %s", e.File, p.Text))
-		} else {
-			lines = append(lines, fmt.Sprintf("%s:%d: %s", e.File, p.Line, p.Text))
-		}
-	}
-	return strings.Join(lines, "\n")
-}
+// FileError lists all the problems of a file.
+type FileError = filefault.FileError
 
 // Parse reads a rules file: YAML with the keys zone, max-mb, max-age and rules. A file with any problem is refused whole, by a
 // *FileError with all of them. classes are those of the node.
@@ -53,39 +34,38 @@
 	p := &parser{classes: classes}
 	set := p.file(text)
 	if len(p.problems) > 0 {
-		slices.SortStableFunc(p.problems, func(a, b Problem) int { return a.Line - b.Line })
-		return nil, &FileError{file, p.problems}
+		return nil, filefault.New(file, p.problems)
 	}
 	return set, nil
 }
 
 type parser struct {
 	classes  []Class
-	problems []Problem
+	problems []filefault.Problem
 }
 
 func (p *parser) fail(n *yaml.Node, format string, args ...any) {
-	p.problems = append(p.problems, Problem{n.Line, fmt.Sprintf(format, args...)})
+	p.problems = append(p.problems, filefault.Problem{Line: n.Line, Text: fmt.Sprintf(format, args...)})
 }
 
 func (p *parser) file(text []byte) *Set {
 	set := &Set{Zone: time.UTC, MaxBytes: defaultMB << 20, MaxAge: defaultAge}
 	if len(text) > maxFile {
-		p.problems = append(p.problems, Problem{0, fmt.Sprintf("holds %d bytes, %d at most", len(text), maxFile)})
+		p.problems = append(p.problems, filefault.Problem{Text: fmt.Sprintf("holds %d bytes, %d at most", len(text), maxFile)})
 		return nil
 	}
 	var doc yaml.Node
 	decoder := yaml.NewDecoder(strings.NewReader(string(text)))
 	switch err := decoder.Decode(&doc); {
 	case errors.Is(err, io.EOF):
-		p.problems = append(p.problems, Problem{0, "is empty; a file without rules has the line rules: []"})
+		p.problems = append(p.problems, filefault.Problem{Text: "is empty; a file without rules has the line rules: []"})
 		return nil
 	case err != nil:
-		p.problems = append(p.problems, syntax(err))
+		p.problems = append(p.problems, filefault.Words(err.Error()))
 		return nil
 	}
 	if err := decoder.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
-		p.problems = append(p.problems, Problem{0, "holds more than one document"})
+		p.problems = append(p.problems, filefault.Problem{Text: "holds more than one document"})
 		return nil
 	}
 	fields := p.mapping(doc.Content[0], "the file")
@@ -116,18 +96,6 @@
 	return set
 }
 
-// syntax takes the line out of the reader's words, "yaml: line 3: ...".
-func syntax(err error) Problem {
-	text := strings.TrimPrefix(err.Error(), "yaml: ")
-	if rest, ok := strings.CutPrefix(text, "line "); ok {
-		number, words, _ := strings.Cut(rest, ": ")
-		if n, err := strconv.Atoi(number); err == nil {
-			return Problem{n, words}
-		}
-	}
-	return Problem{0, text}
-}
-
 type field struct{ key, value *yaml.Node }
 
 // mapping returns the fields of a mapping. Aliases are refused: a file of rules has no use for what can grow so.
--- a/undelivered/rules/rules.go
+++ b/undelivered/rules/rules.go
@@ -64,29 +64,19 @@
 	Granted  bool      // a person has decided that it is sent again
 }
 
-// MayHaveRun returns the first of the attempts that may have run.
-func (e *Entry) MayHaveRun() (a Attempt, any bool) {
-	for _, b := range e.Attempts {
-		if !b.NotRun && (!any || b.At.Before(a.At)) {
-			a, any = b, true
-		}
-	}
-	return a, any
-}
-
-// mayHaveRun returns when the first and the last of the attempts began that may have run.
-func (e *Entry) mayHaveRun() (first, last time.Time, any bool) {
+// MayHaveRun returns the first and the last of the attempts that may have run.
+func (e *Entry) MayHaveRun() (first, last Attempt, any bool) {
 	for _, a := range e.Attempts {
-		switch {
-		case a.NotRun:
+		if a.NotRun {
 			continue
-		case !any:
-			first, last, any = a.At, a.At, true
-		case a.At.Before(first):
-			first = a.At
-		case a.At.After(last):
-			last = a.At
 		}
+		if !any || a.At.Before(first.At) {
+			first = a
+		}
+		if !any || a.At.After(last.At) {
+			last = a
+		}
+		any = true
 	}
 	return first, last, any
 }
@@ -119,7 +109,7 @@
 	if e.Class.Ordered && e.Key != "" {
 		return Person, time.Time{}, "a later message of its key may have overtaken it"
 	}
-	first, last, touched := e.mayHaveRun()
+	first, last, touched := e.MayHaveRun()
 	if !touched {
 		return Free, time.Time{}, "no attempt has run"
 	}
@@ -127,9 +117,9 @@
 	case choice.Safe:
 		return Free, time.Time{}, "repeats are harmless"
 	case choice.Keyed:
-		end := first.Add(e.Class.Window - windowMargin)
+		end := first.At.Add(e.Class.Window - windowMargin)
 		switch {
-		case now.Before(last):
+		case now.Before(last.At):
 			return Person, time.Time{}, "the clock stands before an attempt that was made"
 		case !now.Before(end):
 			return Person, time.Time{}, "the destination may have forgotten its key"
--- a/undelivered/store.go
+++ b/undelivered/store.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"go.etcd.io/bbolt"
-	bolterrors "go.etcd.io/bbolt/errors"
 
+	"starlingusher/internal/boltfile"
 	"starlingusher/undelivered/rules"
 )
 
@@ -81,20 +81,18 @@
 
 // Errors of a store.
 var (
-	ErrInUse   = errors.New("another process has the store")
+	ErrInUse   = boltfile.ErrInUse
 	ErrNewer   = errors.New("the store was written by a newer version")
 	ErrUnknown = errors.New("no such entry")
 	ErrMoved   = errors.New("the entry is not waiting any more")
 	// ErrFull says that the budget is used up by entries that wait for a person, none of which is ever evicted.
 	ErrFull = errors.New("the store is full of entries that wait for a person")
 	// ErrDamaged says that the file can't be read as a store, or not to its end.
-	ErrDamaged = errors.New("the store is damaged")
+	ErrDamaged = boltfile.ErrDamaged
 )
 
 const (
-	version  = 1
-	lockTime = 100 * time.Millisecond
-	grow     = 64 << 10 // the file grows by so much
+	version = 1
 	// The file holds pages that are half full, and two trees while one is written: of MaxBytes so much is for entries.
 	share = 0.45
 	// perEntry is what an entry takes beside its own bytes: its keys, and its page's share.
@@ -115,72 +113,22 @@
 
 // Store is a file of entries. It may be used by many goroutines at a time.
 type Store struct {
-	db *bbolt.DB
-	o  Options
+	file *boltfile.File
+	o    Options
 }
 
 // Open opens or makes the store. A file that is torn or of another make is an error that names it, and is left as it
 // is. Like the journal it is not synced: what a process has written outlasts it, and a power cut may cost it.
-func Open(path string, o Options) (_ *Store, err error) {
-	defer faulty(path, &err)
-	if info, err := os.Stat(path); err == nil && info.Size() > 0 {
-		if err := whole(path, info.Size()); err != nil {
-			return nil, err
-		}
-	}
-	db, err := openFile(path, o.ReadOnly)
-	if err != nil {
-		return nil, err
-	}
-	db.AllocSize = grow
-	s := &Store{db, o}
+func Open(path string, o Options) (*Store, error) {
+	look := prepare
 	if o.ReadOnly {
-		err = db.View(known)
-	} else {
-		err = db.Update(prepare)
-	}
-	if err != nil {
-		return nil, errors.Join(fmt.Errorf("undelivered: %s: %w", path, err), db.Close())
-	}
-	return s, nil
-}
-
-func openFile(path string, readOnly bool) (*bbolt.DB, error) {
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{
-		Timeout: lockTime, NoSync: true, NoFreelistSync: true, FreelistType: bbolt.FreelistMapType, ReadOnly: readOnly,
-	})
-	switch {
-	case errors.Is(err, bolterrors.ErrTimeout):
-		return nil, fmt.Errorf("undelivered: %s: %w", path, ErrInUse)
-	case errors.Is(err, bolterrors.ErrInvalid), errors.Is(err, bolterrors.ErrChecksum), errors.Is(err, bolterrors.ErrVersionMismatch):
-		return nil, fmt.Errorf("undelivered: %s can't be read: %w: %w", path, ErrDamaged, err)
-	case err != nil:
-		return nil, fmt.Errorf("undelivered: %s can't be read: %w", path, err)
+		look = known
 	}
-	return db, nil
-}
-
-// whole tells whether the file has all the pages that it speaks of. bbolt maps it into memory, where a page that is
-// missing would end the process.
-func whole(path string, size int64) (err error) {
-	db, err := openFile(path, true)
+	f, err := boltfile.Open(path, o.ReadOnly, look)
 	if err != nil {
-		return err
-	}
-	defer func() { err = errors.Join(err, db.Close()) }()
-	return db.View(func(tx *bbolt.Tx) error {
-		if tx.Size() > size {
-			return fmt.Errorf("undelivered: %s is cut short, %d bytes of %d: %w", path, size, tx.Size(), ErrDamaged)
-		}
-		return nil
-	})
-}
-
-// faulty turns what bbolt panics with at a damaged page into an error. It is deferred.
-func faulty(path string, err *error) {
-	if r := recover(); r != nil {
-		*err = fmt.Errorf("undelivered: %s: %w: %v", path, ErrDamaged, r)
+		return nil, fmt.Errorf("undelivered: %w", err)
 	}
+	return &Store{f, o}, nil
 }
 
 // known tells whether a file that is not new is one of ours.
@@ -213,7 +161,7 @@
 }
 
 // Close gives the file back.
-func (s *Store) Close() error { return s.db.Close() }
+func (s *Store) Close() error { return s.file.Close() }
 
 func encode(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
 
@@ -253,19 +201,13 @@
 	})
 }
 
-func (s *Store) update(do func(*bbolt.Tx) error) (err error) {
-	defer faulty(s.db.Path(), &err)
-	if err := s.db.Update(do); err != nil {
+func (s *Store) update(do func(*bbolt.Tx) error) error {
+	if err := s.file.Update(do); err != nil {
 		return fmt.Errorf("undelivered: %w", err)
 	}
 	return nil
 }
 
-func (s *Store) view(do func(*bbolt.Tx) error) (err error) {
-	defer faulty(s.db.Path(), &err)
-	return s.db.View(do)
-}
-
 func (s *Store) keep(tx *bbolt.Tx, e Entry, body []byte) error {
 	replaced := false
 	e.First = e.Ended
@@ -416,7 +358,7 @@
 
 // Get returns an entry.
 func (s *Store) Get(n uint64) (e Entry, err error) {
-	err = s.view(func(tx *bbolt.Tx) error {
+	err = s.file.View(func(tx *bbolt.Tx) error {
 		e, err = get(tx, n)
 		return err
 	})
@@ -433,7 +375,7 @@
 
 // Find returns the entry of a message.
 func (s *Store) Find(r Ref) (e Entry, err error) {
-	err = s.view(func(tx *bbolt.Tx) error {
+	err = s.file.View(func(tx *bbolt.Tx) error {
 		n := tx.Bucket(refsBucket).Get(r.key())
 		if n == nil {
 			return fmt.Errorf("undelivered: %s: %w", r.ID, ErrUnknown)
@@ -446,7 +388,7 @@
 
 // Body returns an entry's body. It may hold personal data.
 func (s *Store) Body(n uint64) (body []byte, err error) {
-	err = s.view(func(tx *bbolt.Tx) error {
+	err = s.file.View(func(tx *bbolt.Tx) error {
 		b := tx.Bucket(bodiesBucket).Get(encode(n))
 		if b == nil {
 			return fmt.Errorf("undelivered: %d: %w", n, ErrUnknown)
@@ -465,7 +407,7 @@
 
 // Scan is Each of the entries whose JSON text wanted lets through, which costs less than reading them.
 func (s *Store) Scan(from uint64, wanted func(text []byte) bool, do func(Entry) bool) error {
-	return s.view(func(tx *bbolt.Tx) error {
+	return s.file.View(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(entriesBucket).Cursor()
 		for k, v := c.Seek(encode(from)); k != nil; k, v = c.Next() {
 			if !wanted(v) {
@@ -720,7 +662,7 @@
 
 // Audit hands the audit trail on, oldest first, until do returns false. do must not use the store.
 func (s *Store) Audit(do func(Record) bool) error {
-	return s.view(func(tx *bbolt.Tx) error {
+	return s.file.View(func(tx *bbolt.Tx) error {
 		c := tx.Bucket(auditBucket).Cursor()
 		for k, v := c.First(); k != nil; k, v = c.Next() {
 			var r Record
@@ -737,7 +679,7 @@
 
 // Size is what the file takes on disk now.
 func (s *Store) Size() (int64, error) {
-	info, err := os.Stat(s.db.Path())
+	info, err := os.Stat(s.file.Path())
 	if err != nil {
 		return 0, fmt.Errorf("undelivered: %w", err)
 	}
