delivery: the engine in files of one concern each, behaviour unchanged

Moved declaration by declaration to intake.go, ends.go, list.go, calls.go and loop.go; no line of a body changed.

--- /dev/null
+++ b/delivery/calls.go
@@ -0,0 +1,174 @@
+package delivery
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"starlingusher/choice"
+)
+
+// errNoResult is of a message that its carrier tells nothing of: it may have run.
+var errNoResult = errors.New("the carrier does not tell what became of it")
+
+// attempt names a call that is out, by the journal's number of its message: an id may come again while a call
+// under it is still out.
+type attempt struct {
+	seq uint64
+	n   int
+}
+
+// outCall is a call that is out, as one of its messages sees it. Calling it off ends it for all of them: the module
+// calls off whole calls.
+type outCall struct {
+	m      *past
+	cancel context.CancelFunc
+}
+
+// outgoing is a call that is about to be made, with one message or several.
+type outgoing struct {
+	carrier  Carrier
+	endpoint *Endpoint
+	legs     []leg
+}
+
+// leg is a message's part of a call.
+type leg struct {
+	attempt
+	m *past
+	Attempt
+}
+
+// called notes the outcome of a call. Without a record of it, the attempt may have run.
+func (n *Engine) called(e called) choice.Event {
+	m := n.out[e.attempt].m
+	delete(n.out, e.attempt)
+	if e.Err != nil {
+		m.lastErr = e.Err
+	}
+	outcome := e.outcome()
+	if e.n < len(m.sends) { // the journal keeps none of a message that has ended
+		s := &m.sends[e.n]
+		s.known, s.outcome, s.notRun = true, outcome, s.notRun || notRun(outcome)
+		if e.Err != nil {
+			s.err = e.Err.Error()
+		}
+	}
+	if e.Wait > 0 {
+		m.wait = time.Now().Add(e.Wait)
+	}
+	ended := choice.Ended{
+		ID: m.name(), Attempt: e.n, Endpoint: e.endpoint.ID, Outcome: outcome, Took: e.took, Closed: e.Closed,
+		Wait: e.Wait, NoSlot: e.NoSlot, Report: e.Report, Kept: e.Kept, HungUp: e.HungUp,
+	}
+	ominous := n.sender.Ominous(m.dest, ended)
+	switch outcome {
+	case choice.NoRoom, choice.NoRoute, choice.Stale:
+		kind := recTurnedAway
+		if ominous {
+			kind = recNotRun
+		}
+		n.journal.add(outcomeRecord(kind, e.seq, e.n))
+	default:
+		if ominous {
+			n.journal.add(outcomeRecord(recFailed, e.seq, e.n))
+		}
+	}
+	switch {
+	case e.Closed && m.ended == nil:
+		n.done(m, e.Result)
+	case e.Closed && outcome == choice.Pass && !e.Refused && n.cfg.Keeper != nil && m.ended.state != Delivered:
+		n.late = append(n.late, m.ref())
+	}
+	if e.Wait > 0 {
+		until := time.Now().Add(e.Wait)
+		e.endpoint.Wait(until)
+		n.journal.wait(n.waiterOf(e.endpoint, m.dest), until)
+	}
+	return ended
+}
+
+// newCall is a call to the endpoint of its first Send, as yet without messages.
+func (n *Engine) newCall(a choice.Send) *outgoing {
+	e := n.eps[a.Endpoint]
+	if e == nil {
+		// The list has just lost it; a call there is Stale, and so proven not to have run.
+		e = NewEndpoint(a.Endpoint, "")
+		e.Close()
+	}
+	return &outgoing{carrier: n.fronts[n.journal.live[seqOf(a.ID)].front].Carrier, endpoint: e}
+}
+
+// leg journals an attempt; its call is made once that is written.
+func (n *Engine) leg(a choice.Send, e *Endpoint) leg {
+	p := n.journal.live[seqOf(a.ID)]
+	name, now, endpoint := attempt{p.seq, len(p.sends)}, time.Now(), ""
+	if n.cfg.Keeper != nil {
+		endpoint = e.ID
+	}
+	n.journal.add(attemptRecord(p.seq, now, e.zone, endpoint))
+	return leg{name, p, Attempt{ID: p.id, Key: p.key, Class: p.class, Dest: p.dest, Ref: p.ref(), Body: p.body, Endpoint: e,
+		NotPast: n.wall(a.NotPast), Fresh: a.Fresh, Number: name.n}}
+}
+
+// begin makes a call.
+func (n *Engine) begin(ctx context.Context, o *outgoing) {
+	ctx, cancel := context.WithCancel(ctx)
+	for _, l := range o.legs {
+		n.out[l.attempt] = outCall{l.m, cancel}
+	}
+	n.work(func() {
+		defer cancel()
+		began := time.Now()
+		// Not by tell: the loop takes every call's end, also while the node leaves.
+		if len(o.legs) == 1 {
+			n.events <- o.called(0, began, o.carrier.Attempt(ctx, o.legs[0].Attempt))
+			return
+		}
+		all := make([]Attempt, len(o.legs))
+		for i, l := range o.legs {
+			all[i] = l.Attempt
+		}
+		results := o.carrier.(Batcher).AttemptAll(ctx, all)
+		for i := range all {
+			res := Result{Outcome: choice.Cut, Err: errNoResult}
+			if i < len(results) {
+				res = results[i]
+			}
+			n.events <- o.called(i, began, res)
+		}
+	})
+}
+
+// called is the end of a call for one of its messages.
+func (o *outgoing) called(i int, began time.Time, res Result) called {
+	took := time.Since(began)
+	if !res.Heard.IsZero() {
+		took = res.Heard.Sub(began) // an answer may be spoilt from there on, and take its time
+	}
+	return called{o.legs[i].attempt, o.endpoint, res, took}
+}
+
+// work has a call made by a worker that is idle, or by a new one. A call goes deep, and a goroutine of its own would
+// grow its stack each time.
+func (n *Engine) work(job func()) {
+	select {
+	case n.jobs <- job:
+	default:
+		n.calls.Go(func() {
+			idle := time.NewTimer(workerIdle)
+			defer idle.Stop()
+			for {
+				job()
+				idle.Reset(workerIdle)
+				select {
+				case job = <-n.jobs:
+				case <-idle.C:
+					return
+				case <-n.quit:
+					return
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/delivery/loop.go
@@ -0,0 +1,195 @@
+package delivery
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"starlingusher/choice"
+)
+
+// tell hands the loop an event.
+func (n *Engine) tell(ctx context.Context, e any) {
+	select {
+	case n.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// loop batches what has come and steps through it, until the node has left.
+func (n *Engine) loop(ctx context.Context, gone <-chan struct{}) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	batch := make([]any, 0, maxBatch)
+	for {
+		timer.Reset(n.untilWake())
+		clear(batch) // what it held is not to be kept
+		batch = batch[:0]
+		select {
+		case e := <-n.events:
+			batch = append(batch, e)
+		case <-timer.C:
+		case <-gone:
+			return
+		}
+		for more := true; more && len(batch) < maxBatch; {
+			select {
+			case e := <-n.events:
+				batch = append(batch, e)
+			default:
+				more = false
+			}
+		}
+		n.take(ctx, batch)
+	}
+}
+
+// untilWake is the time to the module's next wake, or to the next try of a journal that could not be written.
+func (n *Engine) untilWake() time.Duration {
+	wait := time.Hour
+	if n.wakeAt > 0 {
+		wait = max(n.wakeAt-n.now(), 0)
+	}
+	if n.journal.broken {
+		wait = min(wait, compactPause)
+	}
+	return wait
+}
+
+// take turns a batch into the module's events, and steps.
+func (n *Engine) take(ctx context.Context, batch []any) {
+	events := make([]choice.Event, 0, len(batch)+1) // one more for a wake
+	fresh := newcomers{}
+	for _, e := range batch {
+		// Before all else: of a message in this batch it is not known yet whether it is taken on.
+		if q, ok := e.(question); ok {
+			n.answer(q)
+		}
+	}
+	for _, e := range batch {
+		switch e := e.(type) {
+		case List:
+			listed, err := n.listed(e)
+			if err != nil {
+				n.log.Error("endpoints are not used", "err", err)
+			}
+			events = append(events, listed)
+		case called:
+			events = append(events, n.called(e))
+		case settled:
+			for _, s := range e {
+				n.forget(s.of)
+			}
+		case choice.Leaving:
+			events = append(events, e)
+		case arrival:
+			switch p := n.accept(e, fresh); {
+			case p == nil:
+			case p.again():
+				events = append(events, n.resumed(p))
+			default:
+				events = append(events, n.arrived(p, e.Came.Add(e.Life)))
+			}
+		case forsaken:
+			if p := n.messages[e.ref]; p != nil {
+				p.waiters = slices.DeleteFunc(p.waiters, func(c chan End) bool { return c == e.end })
+			}
+			n.byes = append(n.byes, e.done)
+		}
+	}
+	// What the module is about to be told of, and the clients with it, rests on these records.
+	if err := n.flush(); err != nil && len(fresh) > 0 {
+		n.log.Error("messages turned away", "err", err)
+		events = slices.DeleteFunc(events, func(e choice.Event) bool {
+			switch e.(type) {
+			case choice.Arrived, choice.Resumed:
+				return true
+			}
+			return false
+		})
+		for seq, all := range fresh {
+			n.forget(n.journal.live[seq])
+			fresh.reply(seq, n.turnAway(all[0]))
+		}
+		fresh = nil
+	}
+	if n.wakeAt > 0 && n.now() >= n.wakeAt {
+		n.wakeAt = 0
+		events = append(events, choice.Rang{Tag: "sweep"})
+	}
+	n.step(ctx, events, fresh)
+}
+
+// flush hands the keeper what it is to have, and then writes the journal's records.
+func (n *Engine) flush() error {
+	if len(n.lost) > 0 {
+		if err := n.cfg.Keeper.Keep(n.lost); err != nil {
+			for _, l := range n.lost {
+				n.log.Error("an undelivered message is not kept", "front", l.Front, "id", l.ID, "class", l.Class,
+					"destination", l.Dest, "state", l.State, "attempts", len(l.Tried), "err", err)
+			}
+		}
+		n.lost = nil
+	}
+	if len(n.late) > 0 {
+		if err := n.cfg.Keeper.Delivered(n.late); err != nil {
+			for _, r := range n.late {
+				n.log.Error("a late delivery is not kept", "front", r.Front, "id", r.ID, "err", err)
+			}
+		}
+		n.late = nil
+	}
+	return n.journal.flush()
+}
+
+// step lets the module decide and carries out what it says, in order, once the records are written that guard
+// it. fresh are the messages whose clients still wait to hear whether they are taken on.
+func (n *Engine) step(ctx context.Context, events []choice.Event, fresh newcomers) {
+	var call *outgoing
+	for _, a := range n.sender.Step(n.now(), events) {
+		switch a := a.(type) {
+		case choice.Send:
+			if !a.Joined {
+				begun := n.newCall(a)
+				n.acts = append(n.acts, func() { n.begin(ctx, begun) })
+				call = begun
+			}
+			call.legs = append(call.legs, n.leg(a, call.endpoint))
+		case choice.PushBack:
+			n.end(a.ID, ending{state: Returned, after: a.RetryAfter}, fresh)
+		case choice.Fail:
+			n.end(a.ID, ending{state: Failed}, fresh)
+		case choice.Cancel:
+			n.acts = append(n.acts, func() {
+				if c, ok := n.out[attempt{seqOf(a.ID), a.Attempt}]; ok {
+					c.cancel()
+				}
+			})
+		case choice.HangUp:
+			for _, f := range n.fronts {
+				f.Carrier.HangUp(a.Endpoint, a.Keep)
+			}
+		case choice.Wake:
+			if n.wakeAt == 0 || a.At < n.wakeAt {
+				n.wakeAt = a.At
+			}
+		case choice.Note:
+			n.log.Info(a.Text)
+		}
+	}
+	for seq := range fresh { // not refused, so taken on
+		n.acts = append(n.acts, func() { fresh.reply(seq, Answer{}) })
+	}
+	if err := n.flush(); err != nil {
+		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
+		return
+	}
+	for _, act := range n.acts {
+		act()
+	}
+	n.acts = n.acts[:0]
+	for _, b := range n.byes {
+		close(b)
+	}
+	n.byes = n.byes[:0]
+}
