recording: what the decisions are told and answer, replayed to say what held each message

record/ writes what an engine tells its decisions and what they answer, with the times of the calls, as CBOR in a zstd stream in checked chunks; record/account plays it again and lays each message's time to named spans; coralyard recording show, explain and account print it. choice says why it pushes back at arrival, and choice/explain.go what holds a message. Off unless CORALYARD_RECORDING names a folder.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -213,8 +213,8 @@
 		return
 	}
 	m, d := s.take(e, false)
-	if !s.admit(d, m) {
-		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(d)})
+	if why := s.admit(d, m); why != Admitted {
+		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(d), Why: why})
 		return
 	}
 	s.hold(m, e.Key)
@@ -310,21 +310,21 @@
 
 // admit asks the gate, at arrival. Beside the paper's ratio stand two departures: the deadline bounds, and
 // a share of the room for held messages, since one backlog must not turn everybody else's messages away.
-func (s *Sender) admit(d *destination, m *message) bool {
+func (s *Sender) admit(d *destination, m *message) Refusal {
 	if s.cfg.MaxOpen > 0 && len(d.waiting) > s.cfg.MaxOpen-s.open() {
-		return false
+		return ByRoom
 	}
 	if d.gate.accepts(d.gate.average, seconds(m.class.Deadline)) {
-		return true
+		return Admitted
 	}
 	// Shut: with nobody held or out, a single trial message lets the ratio fall. Calls that are overdue don't
 	// count: one silent payout, out for all its time, kept the gate shut as long.
 	awaited := slices.ContainsFunc(d.calls, func(c *call) bool { return !c.spare && !s.overdue(c) })
 	if len(d.waiting) == 0 && !awaited && s.now-d.lastTrial >= gateTrial {
 		d.lastTrial = s.now
-		return true
+		return Admitted
 	}
-	return false
+	return ByGate
 }
 
 // admitSpare asks the gate for a spare message. Its trials are its own, and don't use up those of the others.
@@ -612,7 +612,7 @@
 	}
 	c.judged = c.judged || (!lone && e.Outcome != Stale)
 	if e.Wait > 0 { // told with whatever end: it binds all the same
-		r.waitUntil = max(r.waitUntil, s.now+e.Wait)
+		r.told(s.now + e.Wait)
 	}
 	if c.left == 0 && e.Outcome != NoRoute && e.Outcome != Stale {
 		s.giveBack(ep)
@@ -1139,11 +1139,7 @@
 // routeOpen is the part of the check that hangs on the endpoint alone: drain, wait, health, budget and pace.
 func (s *Sender) routeOpen(e *endpoint) bool {
 	r := e.route
-	if !e.ready || s.now < r.waitUntil || r.tokens < 1 || s.now < e.shyTil {
-		return false
-	}
-	if since := s.now - e.crowdedAt; e.room > 0 && since < crowdedSpan &&
-		float64(e.out) >= e.room+roomGrow*seconds(since) {
+	if !e.ready || s.now < r.waitUntil || r.tokens < 1 || s.now < e.shyTil || s.tableFull(e) {
 		return false
 	}
 	return !r.sick || (!r.trial && s.now >= r.trialAt)
--- /dev/null
+++ b/choice/explain.go
@@ -0,0 +1,132 @@
+package choice
+
+// Hold is what keeps a message that was taken on from being sent at a moment.
+type Hold uint8
+
+// The holds. Where a destination has several endpoints, the hold is that of the one that is the nearest to being open,
+// in this order.
+const (
+	HoldTurn     Hold = iota // nothing but that its turn comes with the next step
+	HoldSlot                 // all slots are taken
+	HoldSlow                 // slow destinations together hold the slots that they may
+	HoldKey                  // its key's turn, or its key's rest
+	HoldRetry                // its own rest after a failure
+	HoldPace                 // the partner's limit, as far as this sender's part of it goes
+	HoldReturn               // the pace of the way back from an outage
+	HoldRest                 // the rest after a refusal that told no wait
+	HoldTold                 // a wait that the partner asked for
+	HoldTable                // the endpoint's connection table is full
+	HoldTrial                // an outage: the next trial, or the outcome of the one that is out
+	HoldUnsure               // it may have run, or it may not be risked on a sick route
+	HoldLeaving              // the process ends before a call would
+	HoldEndpoint             // no endpoint is ready
+	Holds                    // how many there are
+)
+
+var holdNames = [Holds]string{
+	"turn", "slot", "slow", "key", "retry", "pace", "return", "rest", "told", "table", "trial", "unsure", "leaving", "endpoint",
+}
+
+func (h Hold) String() string {
+	if h < Holds {
+		return holdNames[h]
+	}
+	return "unknown"
+}
+
+// Waiting calls f for each message that waits, in order of arrival at its destination, with what holds it after the last
+// Step. It decides nothing and changes nothing, so it may be called between any two steps; not beside one.
+func (s *Sender) Waiting(f func(id string, why Hold)) {
+	slow := -1.0 // slots that slow destinations hold, counted once
+	for _, d := range s.dests {
+		if len(d.waiting) == 0 && len(d.spares) == 0 {
+			continue
+		}
+		if slow < 0 {
+			slow = float64(s.lameHeld())
+		}
+		capped := s.cfg.Slots > 0 && slow >= max(1, slowShare*float64(s.cfg.Slots)) && s.lame(d)
+		for _, all := range [][]*message{d.waiting, d.spares} {
+			for _, m := range all {
+				f(m.id, s.holdOf(m, capped))
+			}
+		}
+	}
+}
+
+func (s *Sender) holdOf(m *message, capped bool) Hold {
+	why := HoldEndpoint
+	for _, e := range m.dest.endpoints {
+		why = min(why, s.holdAt(m, e))
+	}
+	if why > HoldSlow {
+		return why
+	}
+	switch {
+	case s.cfg.Slots > 0 && s.busy >= s.cfg.Slots:
+		return HoldSlot
+	case capped:
+		return HoldSlow
+	}
+	return HoldTurn
+}
+
+// holdAt is what check would stumble over first, but for slots. It refills no bucket: a step would then find another
+// sum than it did without being asked.
+func (s *Sender) holdAt(m *message, e *endpoint) Hold {
+	r := e.route
+	switch {
+	case !e.ready:
+		return HoldEndpoint
+	case s.leaveBy > 0 && s.now+s.leaveSpan(m, e) > s.leaveBy:
+		return HoldLeaving
+	case r.sick && (r.trial || s.now < r.trialAt):
+		return HoldTrial
+	case s.now < r.toldUntil:
+		return HoldTold
+	case s.now < r.waitUntil:
+		return HoldRest
+	case s.now < e.shyTil || s.tableFull(e):
+		return HoldTable
+	case m.class.Effect == Unsafe && (m.touched || (r.sick && !r.harmless && s.now-m.arrived <= (m.dropDead-m.arrived)/2)),
+		m.class.Effect == Keyed && m.touched && (s.now > s.windowEnd(m) || (!m.class.GroupAll && e.zone != m.zone)):
+		return HoldUnsure
+	case s.tokensAt(r) < 1 && r.recovering():
+		return HoldReturn
+	case s.tokensAt(r) < 1:
+		return HoldPace
+	case s.now < m.notBefore:
+		return HoldRetry
+	case m.key != "" && ((s.now < s.rests[m.key] && (m.attempts == 0 || m.spare)) || !s.firstOfLine(m)):
+		return HoldKey
+	}
+	return HoldTurn
+}
+
+// tokensAt is what refill would find, without the bound on saving up, which lies at one or above.
+func (s *Sender) tokensAt(r *route) float64 {
+	rate, bound := s.pace(r)
+	if !bound {
+		return 1
+	}
+	return r.tokens + rate*seconds(s.now-r.tokensAt)
+}
+
+// tableFull tells that an endpoint's connections are all in use, as far as it is known how many it takes.
+func (s *Sender) tableFull(e *endpoint) bool {
+	since := s.now - e.crowdedAt
+	return e.room > 0 && since < crowdedSpan && float64(e.out) >= e.room+roomGrow*seconds(since)
+}
+
+// firstOfLine tells that nobody with the message's key stands before it.
+func (s *Sender) firstOfLine(m *message) bool {
+	for _, o := range s.lines[m.key] {
+		if o == m {
+			return true
+		}
+		if !o.over || o.out > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -103,7 +103,8 @@
 
 // route is what limits, waits and outages bind: a destination, or an endpoint that is a route apart.
 type route struct {
-	waitUntil time.Duration // rule six
+	waitUntil time.Duration // rule six, and rests of our own after refusals that told no wait
+	toldUntil time.Duration // the part of it that was told
 	limit     float64       // calls a second as reported
 	reported  bool
 	left      float64 // share of it left at the last report
@@ -334,16 +335,20 @@
 	return fresh
 }
 
+// told has a wait bind.
+func (r *route) told(until time.Duration) {
+	r.waitUntil, r.toldUntil = max(r.waitUntil, until), max(r.toldUntil, until)
+}
+
 // toldBefore has a wait bind that was told in an earlier life. An endpoint that is not on the list is bound as one that
 // has left it with a wait.
 func (s *Sender) toldBefore(w Waits) {
 	e := s.eps[w.Endpoint]
 	switch {
 	case w.Endpoint == "":
-		r := s.destination(w.Dest).shared
-		r.waitUntil = max(r.waitUntil, w.Until)
+		s.destination(w.Dest).shared.told(w.Until)
 	case e != nil:
-		e.route.waitUntil = max(e.route.waitUntil, w.Until)
+		e.route.told(w.Until)
 	default:
 		s.parted[w.Endpoint] = max(s.parted[w.Endpoint], w.Until)
 	}
--- a/choice/stream_test.go
+++ b/choice/stream_test.go
@@ -213,6 +213,9 @@
 	if a, ok := a.(Send); ok {
 		return fmt.Sprintf("choice.Send{ID:%q, Endpoint:%q, NotPast:%d, Fresh:%t}", a.ID, a.Endpoint, a.NotPast, a.Fresh)
 	}
+	if a, ok := a.(PushBack); ok { // nor why it was pushed back
+		return fmt.Sprintf("choice.PushBack{ID:%q, RetryAfter:%d}", a.ID, a.RetryAfter)
+	}
 	return fmt.Sprintf("%#v", a)
 }
 
--- a/choice/types.go
+++ b/choice/types.go
@@ -208,8 +208,19 @@
 type PushBack struct {
 	ID         string
 	RetryAfter time.Duration
+	Why        Refusal
 }
 
+// Refusal is why a message was pushed back.
+type Refusal uint8
+
+// The refusals.
+const (
+	Admitted Refusal = iota // not at its arrival: it was taken on, and given up since
+	ByGate                  // its destination's gate is shut
+	ByRoom                  // its destination holds more than the room that is left for all
+)
+
 // Fail ends a message and promises nothing.
 type Fail struct{ ID string }
 
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -28,6 +28,7 @@
 	Demo        demoCommand        `cmd:"" help:"Run a node with three stand-in partners in a temporary folder, and show what becomes of some messages."`
 	AS2         as2Command         `cmd:"" name:"as2" help:"Check the file of AS2 partners, and try a partner out."`
 	Undelivered undeliveredCommand `cmd:"" help:"Look at undelivered messages, decide on them and send them again."`
+	Recording   recordingCommand   `cmd:"" help:"Tell from a recording why messages waited, were refused or came late."`
 }
 
 type demoCommand struct {
@@ -100,6 +101,14 @@
 		x.Carriers = partners.Carriers()
 		x.Further = partners.Front(daemon.NewCarrier(cfg, x.Carriers))
 	}
+	tape, err := openRecording(cfg, log)
+	if err != nil {
+		return err
+	}
+	if tape != nil {
+		defer tape.Close()
+		x.Recorder = tape
+	}
 	d, err := daemon.OpenWith(cfg, log, x)
 	if err != nil {
 		return err
--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -30,6 +30,7 @@
 	carrier  Carrier
 	endpoint *Endpoint
 	legs     []leg
+	times    *Times // of the call, where it is recorded
 }
 
 // leg is a message's part of a call.
@@ -47,6 +48,9 @@
 		m.lastErr = e.Err
 	}
 	outcome := e.outcome()
+	if e.times != nil {
+		n.recordCall(m, e, outcome)
+	}
 	if e.n < len(m.sends) { // the journal keeps none of a message that has ended
 		s := &m.sends[e.n]
 		s.known, s.outcome, s.notRun = true, outcome, s.notRun || notRun(outcome)
@@ -117,6 +121,10 @@
 	for _, l := range o.legs {
 		n.out[l.attempt] = outCall{l.m, cancel}
 	}
+	if n.cfg.Recorder != nil {
+		o.times = new(Times)
+		o.legs[0].Times = o.times
+	}
 	n.work(func() {
 		defer cancel()
 		began := time.Now()
@@ -146,7 +154,11 @@
 	if !res.Heard.IsZero() {
 		took = res.Heard.Sub(began) // an answer may be spoilt from there on, and take its time
 	}
-	return called{o.legs[i].attempt, o.endpoint, res, took}
+	e := called{attempt: o.legs[i].attempt, endpoint: o.endpoint, Result: res, took: took, began: began}
+	if i == 0 {
+		e.times = o.times
+	}
+	return e
 }
 
 // work has a call made by a worker that is idle, or by a new one. A call goes deep, and a goroutine of its own would
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -42,6 +42,8 @@
 	// LeaveAfter is for how long messages are still taken on and sent once the engine has been told to stop.
 	LeaveAfter time.Duration
 	Log        *slog.Logger // nil for none
+	// Recorder is told what the engine tells the decisions and what they answer; nil for none.
+	Recorder Recorder
 }
 
 // Message is one piece of work as a front hands it in.
@@ -125,7 +127,9 @@
 		attempt
 		endpoint *Endpoint
 		Result
-		took time.Duration
+		took  time.Duration
+		began time.Time
+		times *Times // of the first message of a call that is recorded
 	}
 	settled  []End
 	question struct {
@@ -272,6 +276,9 @@
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	defer close(n.over)
+	if n.cfg.Recorder != nil {
+		n.cfg.Recorder.Opened(n.cfg.Settings, seed(n.cfg.Seed), n.wall(0))
+	}
 	n.step(life, n.replayed(), nil)
 
 	var parts sync.WaitGroup
--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -96,7 +96,7 @@
 	p := n.messages[name]
 	if p != nil && (p.again() || a.life != nil) {
 		// A further life and a new message of its ID don't meet, or one's end could be taken for the other's.
-		a.answer(n.turnAway(a))
+		a.answer(n.turnAway(a, TurnedByLife))
 		return nil
 	}
 	switch {
@@ -130,7 +130,7 @@
 		return nil
 	case a.life != nil && n.again >= maxAgain,
 		a.life == nil && n.cfg.Settings.MaxOpen > 0 && n.held >= n.cfg.Settings.MaxOpen:
-		a.answer(n.turnAway(a))
+		a.answer(n.turnAway(a, TurnedByRoom))
 		return nil
 	}
 	p = &past{id: a.ID, key: a.Key, class: a.Class, tenant: a.Tenant, dest: a.Dest, body: a.Body,
@@ -140,7 +140,7 @@
 	}
 	p, err := n.journal.accept(p)
 	if err != nil {
-		a.answer(n.turnAway(a))
+		a.answer(n.turnAway(a, TurnedByDisk))
 		return nil
 	}
 	if a.end != nil {
@@ -149,10 +149,18 @@
 	n.messages[name] = p
 	*n.count(p)++
 	fresh[p.seq] = []arrival{a}
+	if n.cfg.Recorder != nil {
+		n.cfg.Recorder.Handed(Handed{Name: p.name(), Front: p.front, ID: p.id, Came: n.at(a.Came)})
+	}
 	return p
 }
 
 // turnAway refuses a message for want of room, before the module has heard of it.
-func (n *Engine) turnAway(a arrival) Answer {
-	return Answer{Refused: true, After: n.sender.StayAway(a.Dest)}
+func (n *Engine) turnAway(a arrival, why string) Answer {
+	after := n.sender.StayAway(a.Dest)
+	if n.cfg.Recorder != nil {
+		n.cfg.Recorder.Turned(Turned{At: n.now(), Came: n.at(a.Came), Front: a.front.Name, ID: a.ID, Class: a.Class,
+			Tenant: a.Tenant, Dest: a.Dest, After: after, Why: why})
+	}
+	return Answer{Refused: true, After: after}
 }
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -80,6 +80,9 @@
 			for _, s := range e {
 				n.forget(s.of)
 			}
+			if n.cfg.Recorder != nil {
+				n.recordNotices(e)
+			}
 		case choice.Leaving:
 			events = append(events, e)
 		case arrival:
@@ -109,7 +112,7 @@
 		})
 		for seq, all := range fresh {
 			n.forget(n.journal.live[seq])
-			fresh.reply(seq, n.turnAway(all[0]))
+			fresh.reply(seq, n.turnAway(all[0], TurnedByDisk))
 		}
 		fresh = nil
 	}
@@ -146,7 +149,12 @@
 // it. fresh are the messages whose clients still wait to hear whether they are taken on.
 func (n *Engine) step(ctx context.Context, events []choice.Event, fresh newcomers) {
 	var call *outgoing
-	for _, a := range n.sender.Step(n.now(), events) {
+	now := n.now()
+	actions := n.sender.Step(now, events)
+	if n.cfg.Recorder != nil {
+		n.cfg.Recorder.Stepped(now, events, actions)
+	}
+	for _, a := range actions {
 		switch a := a.(type) {
 		case choice.Send:
 			if !a.Joined {
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -19,6 +19,9 @@
 	NotPast  time.Time // when it is to be abandoned
 	Fresh    bool      // not on a connection that was used before
 	Number   int       // among the message's attempts, from 0
+	// Times, if not nil, takes when the call did what. The carrier may write to it until the attempt returns; of a call
+	// with several messages to that of the first alone.
+	Times *Times
 }
 
 // Result is how an attempt ended.
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -57,6 +57,8 @@
 	limit *io.LimitedReader
 	br    *bufio.Reader
 
+	idleSince time.Time // while it is kept; of whoever has it
+
 	mu   sync.Mutex
 	call *call // whose answer is awaited
 	gone bool  // nothing more comes of it
@@ -109,11 +111,15 @@
 		k = p.take(c.Endpoint, x)
 	}
 	kept := k != nil
-	if !kept {
+	if kept {
+		c.Times.Took(k.idleSince)
+	} else {
 		var err error
+		c.Times.Dial()
 		if k, err = p.dial(ctx, c.Endpoint.Addr); err != nil {
 			return delivery.Result{Outcome: choice.NoRoute, NotRun: true, Err: err}
 		}
+		c.Times.Connect()
 		k.call = x
 		go p.read(k, c.Endpoint.ID) // ends with the connection
 	}
@@ -125,7 +131,7 @@
 		return delivery.Result{Outcome: choice.Stale, NotRun: true}
 	}
 	stop := context.AfterFunc(ctx, func() { k.Close() })
-	res, reuse := k.exchange(ctx, x)
+	res, reuse := k.exchange(ctx, x, c.Times)
 	res.Kept = kept
 	if stop() && reuse {
 		p.give(c.Endpoint, k)
@@ -178,8 +184,11 @@
 }
 
 // exchange writes the request and waits for the answer; reuse tells that the connection is good for another call.
-func (k *conn) exchange(ctx context.Context, x *call) (res delivery.Result, reuse bool) {
-	if n, err := k.Write(x.request); err != nil && n < len(x.request) {
+func (k *conn) exchange(ctx context.Context, x *call, times *delivery.Times) (res delivery.Result, reuse bool) {
+	times.Write()
+	n, err := k.Write(x.request)
+	times.Wrote()
+	if err != nil && n < len(x.request) {
 		return delivery.Result{Outcome: choice.NoRoute, NotRun: true, Err: err}, false // without its last byte the endpoint has not begun it
 	}
 	end := <-x.end // the reader ends with the connection, which ends with ctx
@@ -442,6 +451,7 @@
 		k.Close()
 		return
 	}
+	k.idleSince = time.Now()
 	p.idle[e.ID] = append(p.idle[e.ID], k)
 	p.size++
 }
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -156,7 +156,7 @@
 			far.Close()
 		}()
 		k := &conn{Conn: near}
-		if got, reuse := k.exchange(t.Context(), &call{request: []byte(strings.Repeat("x", 100))}); got.Outcome != choice.NoRoute || reuse {
+		if got, reuse := k.exchange(t.Context(), &call{request: []byte(strings.Repeat("x", 100))}, nil); got.Outcome != choice.NoRoute || reuse {
 			t.Errorf("got %+v, %v", got, reuse)
 		}
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	Keeper delivery.Keeper // takes what ends undelivered; nil for none
 	// Carriers are those of the destinations that are not called over HTTP.
 	Carriers map[int]delivery.Carrier
+	Recorder delivery.Recorder // is told what the decisions are told; nil for none
 	// Further fronts share the node's engine, and with it each partner's rate, waits and slots.
 	Further []delivery.Front
 }
@@ -77,7 +78,8 @@
 	}
 	var err error
 	engine := cfg.Engine()
-	engine.Members, engine.LeaveAfter, engine.Log, engine.Keeper = n.agent, leaveAfter, log, x.Keeper
+	engine.Members, engine.LeaveAfter, engine.Log = n.agent, leaveAfter, log
+	engine.Keeper, engine.Recorder = x.Keeper, x.Recorder
 	n.engine, err = delivery.Open(engine, append(x.Further, own)...)
 	if err != nil {
 		return nil, err
