choice: a full queue, a lowered limit and a few broken connections are no outage

Seen, line by line: refusals of a partner that tells no limit were counted as failures (judge), so a clump that filled its queue opened an outage, ten seconds at a trickle, and what had gathered then went out at once and filled the queue again; three connections that broke within 40 ms opened one while other calls were passing; calls that were cut short by their messages' deadlines counted as silence; a refusal that told of a limit cut to a tenth also halved the part of it; a call that broke cost its token, five seconds of pace at 0.2 a second; the hold under the old limit kept the gate shut after the new one.

window/ (pure): a congestion window for endpoints that tell no limit. outage/ (pure): the run of failures that is no luck, and the gap that is too short for an outage.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,8 +26,6 @@
 	gateTrial     = 500 * time.Millisecond // pause between trial messages of a shut, idle gate
 
 	// Health of a route.
-	failWeight = 0.05                    // weight of a call in the share of failures met everywhere
-	chanceRun  = 0.02                    // a run of failures less likely than this by that share is no luck
 	shutWait   = 2200 * time.Millisecond // a told wait longer than any limit's span means shut
 	trialFirst = 250 * time.Millisecond  // half-open trials: first pause,
 	trialLast  = 1000 * time.Millisecond // and the longest, a fraction of the outages worth noticing
@@ -64,6 +62,7 @@
 	burstSpan   = 0.25                   // seconds of pace that may go at once
 	itemWeight  = 0.25                   // of a further message in a call to a cold one, in calls
 	refusedRest = 120 * time.Millisecond // first rest after a refusal that told no wait
+	lowered     = 0.6                    // a limit at this share of what it was has changed; less is noise
 
 	// Attempts.
 	timeoutFactor = 6                      // time-out in usual times, where a repeat is allowed,
@@ -379,9 +378,6 @@
 // StayAway is how long a client should stay away whose message is turned away before the gate, for no room.
 func (s *Sender) StayAway(dest int) time.Duration { return s.retryAfter(s.destination(dest)) }
 
-// Knows tells that a destination is on the list, or was not long ago.
-func (s *Sender) Knows(dest int) bool { return s.dests[dest] != nil }
-
 // Ominous tells whether an outcome is a sign of an outage that the next life should hear of with its message.
 // A refusal over a limit is none, nor is a call that was called off, nor a kept connection that broke.
 func (s *Sender) Ominous(dest int, e Ended) bool {
@@ -475,12 +471,16 @@
 		s.hangEnd(c)
 	}
 	// A kept connection that breaks under a call tells of the connection, not of its destination; so does
-	// silence where calls that were sent later have passed.
+	// silence where calls that were sent later have passed, or that its message had no time to wait out.
 	worn := e.Kept && e.Outcome == Cut
 	if worn {
 		s.wornTil = s.now + wornSpan
 	}
-	lone := worn || (e.Outcome == TooSlow || e.Outcome == Undone) && s.lost(c)
+	if e.Outcome == Cut || e.Outcome == NoRoute {
+		c.ep.route.giveBack()
+	}
+	lone := worn || (e.Outcome == TooSlow || e.Outcome == Undone) && s.lost(c) ||
+		e.Outcome == TooSlow && seconds(s.now-c.sentAt) < timeoutFactor*c.ep.usual && m.class.Effect != Unsafe
 	s.report(c.ep.route, e.Report)
 	s.judge(c, e, lone)
 	s.inherit(c.ep)
@@ -520,14 +520,13 @@
 // sample is the one place that turns outcomes into gate samples. Whatever did not deliver is charged as slow,
 // or fast errors would make the ratio read healthy while everything is rejected; a refusal for being over a
 // limit is pacing news and no sample, for the hold that follows shows in the final one. Of a message held
-// through an outage only the time since the return counts (the call itself in any case): its hold says
-// nothing of what a new one would meet, and the old backlog kept the gate shut for messages that could be
-// in time.
+// through an outage, or a limit that was raised since, only the time since counts (the call itself in any
+// case): its hold says nothing of what a new one would meet, and kept the gate shut to such in time.
 func (s *Sender) sample(m *message, c *call, o Outcome, lone bool) {
 	if lone || (m.spare && o != Pass) {
 		return // a spare one shuts the gate to nobody
 	}
-	sec := seconds(s.now - max(m.arrived, min(c.ep.route.coldFrom, c.sentAt)))
+	sec := seconds(s.now - max(m.arrived, min(max(c.ep.route.coldFrom, c.ep.route.raisedAt), c.sentAt)))
 	if m.spare {
 		sec = seconds(s.now - c.sentAt)
 	}
@@ -560,6 +559,11 @@
 func (s *Sender) report(r *route, rep Report) {
 	r.left = 0
 	if rep.HasLimit && rep.Limit >= 0 && !math.IsInf(rep.Limit, 0) {
+		if rep.Limit < lowered*r.limit {
+			r.loweredAt = s.now
+		} else if r.limit > 0 && r.limit < lowered*rep.Limit {
+			r.raisedAt = s.now
+		}
 		r.reported, r.limit = true, rep.Limit
 		if rep.HasLeft && rep.Left > 0 {
 			r.left = min(rep.Left, 1)
@@ -581,8 +585,8 @@
 		if took <= slowFactor*ep.usual {
 			ep.provenAt = max(ep.provenAt, c.sentAt)
 		}
-		ep.usual = ease(ep.usual, took)
-		ep.response = ease(ep.response, took)
+		ep.usual, ep.response = ease(ep.usual, took), ease(ep.response, took)
+		ep.window.Passed(s.now, ep.out, e.Took)
 		if r.fails > 0 && r.harmless && !r.sick && !s.cfg.FullTold {
 			s.crowded[ep.dest.kind] = s.now + crowdedSpan // no connection, then a pass: a full table
 		}
@@ -600,15 +604,16 @@
 		}
 		r.waitUntil = max(r.waitUntil, s.now+max(e.Wait, r.rest))
 		ep.response = ease(ep.response, 2*max(ep.response, took))
-		// Refused where there is no limit: a full queue, as of a destination that hangs.
-		stuck := r.reported && r.limit == 0
+		// Refused where there is no limit: a full queue, as of a destination that hangs, if nothing passes.
+		stuck := r.unlimited() && ep.window.Refused(s.now, ep.out)
 		if shut := e.Wait > shutWait; shut || stuck || r.sick {
-			s.failure(ep, shut, true)
-		} else {
+			s.failure(ep, shut, true, false)
+		} else if !r.unlimited() {
 			s.cut(ep.dest, r)
 		}
 	default:
-		s.failed(ep, took, e.Outcome == NoRoute)
+		ep.response = ease(ep.response, max(2*ep.response, took, seconds(slowLeast)))
+		s.failure(ep, false, e.Outcome == NoRoute, e.Outcome == NoRoute || e.Outcome == Cut)
 	}
 	c.judged = c.judged || (!lone && e.Outcome != Stale)
 	if e.Wait > 0 { // told with whatever end: it binds all the same
@@ -619,12 +624,6 @@
 	}
 }
 
-// failed books a call that failed.
-func (s *Sender) failed(ep *endpoint, took float64, harmless bool) {
-	ep.response = ease(ep.response, max(2*ep.response, took, seconds(slowLeast)))
-	s.failure(ep, false, harmless)
-}
-
 // giveBack closes idle connections that stand in other senders' way: an endpoint's table may be small, idle
 // ones counted, and a large fleet fills it. It acts where the connection would be closed before its next use
 // anyway, and at a kind where connects failed of late; there it costs handshakes while the sign lasts.
@@ -660,11 +659,14 @@
 // cut lowers this sender's part of the limit at a refusal. It knows its part by its own demand: whatever it
 // was, it falls to that at once and is halved from there, for where refused calls use up the limit, a fleet
 // that goes on asking gets nothing. The next call comes at any moment of the new pace, lest all come at once.
+// A refusal that tells of a limit which has just been lowered says nothing of the part.
 func (s *Sender) cut(d *destination, r *route) {
-	if limit := s.limit(r); limit > 0 {
-		r.part = min(r.part, 2*d.rate(s.now)/limit)
+	if limit := s.limit(r); r.loweredAt != s.now {
+		if limit > 0 {
+			r.part = min(r.part, 2*d.rate(s.now)/limit)
+		}
+		r.part = max(r.part*partCut, 0.5/float64(s.cfg.Fleet))
 	}
-	r.part = max(r.part*partCut, 0.5/float64(s.cfg.Fleet))
 	r.partAt = s.now
 	r.tokens = min(r.tokens, s.rng.Float64())
 }
@@ -672,31 +674,31 @@
 // failure notes a sign of an outage. It covers every kind: refused connections, errors, silence, shut doors.
 // A route gone sick gets single trials with growing pauses; the cold budget holds until it is surely warm.
 // One failure is no outage: a run is, if it is longer than the failures met everywhere explain. So a
-// lossy path of our own does not make all destinations look struck. Only calls that follow a pass there count
-// in that share, or an outage would raise the bar for itself. Routes apart of one destination add up their
-// runs, for an outage mostly takes them all and each sees few calls.
-func (s *Sender) failure(ep *endpoint, sure, harmless bool) {
+// lossy path of our own does not make all destinations look struck. Routes apart of one destination add up
+// their runs, for an outage mostly takes them all and each sees few calls.
+func (s *Sender) failure(ep *endpoint, sure, harmless, torn bool) {
 	r := ep.route
 	r.harmless, r.partAt = harmless, s.now
+	r.gap.Failed(r.fails == 0, torn)
 	r.fails++
 	if !r.sick {
 		if r.fails == 1 {
 			r.failedAt = s.now
-			s.failing += failWeight * (1 - s.failing)
+			s.failing.Failed()
 		}
 		least := float64(sickCount)
 		if s.now-r.failedAt >= sickSpan || ep.dest.rate(s.now)*seconds(sickSpan) < rareCalls {
 			least--
 		}
-		run := max(least, math.Log(chanceRun)/math.Log(min(max(s.failing, 0.01), 0.7)))
 		fails := r.fails
 		for _, mate := range ep.dest.endpoints {
 			if mate.route != r {
 				fails += mate.route.fails
 			}
 		}
-		if sure || float64(fails) >= run {
+		if sure || (float64(fails) >= s.failing.Run(least) && !s.mayPass(ep.dest, r)) {
 			s.strike(r)
+			ep.narrow(s.now)
 		}
 	} else if s.now >= r.trialAt {
 		r.backoff = min(2*r.backoff, trialLast)
@@ -704,6 +706,14 @@
 	}
 }
 
+// mayPass tells that a call which was out when the run of failures began may still pass: a few calls that
+// break off at once come before the passes of their time, and are no outage.
+func (s *Sender) mayPass(d *destination, r *route) bool {
+	return slices.ContainsFunc(d.calls, func(c *call) bool {
+		return c.ep.route == r && c.sentAt <= r.failedAt && seconds(s.now-c.sentAt) <= 2*c.ep.usual
+	})
+}
+
 // strike opens an outage. The allowance starts anywhere below one call, or the senders of a large fleet, most
 // of which hold a single message, would all try at the same age of the outage.
 func (s *Sender) strike(r *route) {
@@ -711,6 +721,9 @@
 		r.struckAt, r.demand = s.now, 1
 		r.tokens, r.tokensAt = s.rng.Float64(), s.now
 	}
+	if r.coldFrom > 0 {
+		r.gap.Stays() // it has been out
+	}
 	r.sick, r.backoff, r.coldFrom = true, trialFirst, 0
 	r.trialAt = s.now + r.backoff
 }
@@ -718,7 +731,7 @@
 // passed notes a delivered call: the end of an outage, a step of the recovery, or plain health.
 func (s *Sender) passed(r *route) {
 	if !r.sick && r.fails == 0 {
-		s.failing *= 1 - failWeight
+		s.failing.Passed()
 	}
 	r.rest, r.fails = 0, 0
 	if gap := seconds(s.now - r.passedAt); gap > 1 {
@@ -731,7 +744,10 @@
 	most := max(1, r.left*seconds(demandSpan))
 	r.part = min(1, r.part+partGrow*max(r.part, 1/float64(s.cfg.Fleet))*min(most, seconds(s.now-r.partAt)))
 	r.partAt = s.now
+	brief := r.gap.Passed(s.now)
 	switch {
+	case r.sick && brief:
+		r.sick = false
 	case r.sick:
 		r.sick, r.coldFrom = false, s.now
 	case r.coldFrom > 0 && s.now-r.coldFrom > s.cfg.WarmWithin:
@@ -739,9 +755,6 @@
 	}
 }
 
-// recovering tells that the route is struck, or not yet surely warm again.
-func (r *route) recovering() bool { return r.sick || r.coldFrom > 0 }
-
 // capacity is a careful guess of what the route takes a second from all senders when it is warm.
 func (s *Sender) capacity(r *route) float64 {
 	switch {
@@ -1139,7 +1152,8 @@
 // routeOpen is the part of the check that hangs on the endpoint alone: drain, wait, health, budget and pace.
 func (s *Sender) routeOpen(e *endpoint) bool {
 	r := e.route
-	if !e.ready || s.now < r.waitUntil || r.tokens < 1 || s.now < e.shyTil || s.tableFull(e) {
+	if !e.ready || s.now < r.waitUntil || r.tokens < 1 || s.now < e.shyTil || s.tableFull(e) ||
+		!e.window.Allows(s.now, e.out) {
 		return false
 	}
 	return !r.sick || (!r.trial && s.now >= r.trialAt)
--- a/choice/explain.go
+++ b/choice/explain.go
@@ -1,5 +1,7 @@
 package choice
 
+import "time"
+
 // Hold is what keeps a message that was taken on from being sent at a moment.
 type Hold uint8
 
@@ -16,6 +18,7 @@
 	HoldRest                 // the rest after a refusal that told no wait
 	HoldTold                 // a wait that the partner asked for
 	HoldTable                // the endpoint's connection table is full
+	HoldWindow               // as many calls are out as its queue takes
 	HoldTrial                // an outage: the next trial, or the outcome of the one that is out
 	HoldUnsure               // it may have run, or it may not be risked on a sick route
 	HoldLeaving              // the process ends before a call would
@@ -24,7 +27,7 @@
 )
 
 var holdNames = [Holds]string{
-	"turn", "slot", "slow", "key", "retry", "pace", "return", "rest", "told", "table", "trial", "unsure", "leaving", "endpoint",
+	"turn", "slot", "slow", "key", "retry", "pace", "return", "rest", "told", "table", "window", "trial", "unsure", "leaving", "endpoint",
 }
 
 func (h Hold) String() string {
@@ -88,6 +91,8 @@
 		return HoldRest
 	case s.now < e.shyTil || s.tableFull(e):
 		return HoldTable
+	case !e.window.Allows(s.now, e.out):
+		return HoldWindow
 	case m.class.Effect == Unsafe && (m.touched || (r.sick && !r.harmless && s.now-m.arrived <= (m.dropDead-m.arrived)/2)),
 		m.class.Effect == Keyed && m.touched && (s.now > s.windowEnd(m) || (!m.class.GroupAll && e.zone != m.zone)):
 		return HoldUnsure
@@ -130,3 +135,49 @@
 	}
 	return true
 }
+
+// View is what a Sender believes of one route of a destination after the last Step. Times are on its clock, rates in calls a
+// second, response times in seconds.
+type View struct {
+	Endpoint      string // the route's own, or the first of those that share it
+	Waiting, Out  int    // messages that wait at the destination, calls that are out there
+	GateShut      bool
+	Average       float64 // response time that the gate goes by
+	Usual         float64 // of passed calls at the endpoint
+	Limit         float64 // of all senders; 0 for none
+	Part          float64 // of it that is this sender's
+	Pace          float64 // at which it may send; 0 for no bound
+	Tokens        float64 // calls that may go at once
+	Window        float64 // calls that may be out at the endpoint; 0 for any number
+	Fails         int     // failures in a row
+	Sick          bool    // an outage: only trials go
+	Returning     bool    // on the way back from one
+	WaitsUntil    time.Duration
+	TurnedAwayFor time.Duration // for how long all calls have been turned away
+}
+
+// Views returns what the Sender believes of a destination, route by route. It decides nothing and changes nothing, as
+// Waiting.
+func (s *Sender) Views(dest int) []View {
+	d := s.dests[dest]
+	if d == nil {
+		return nil
+	}
+	var all []View
+	for i, e := range d.endpoints {
+		r := e.route
+		if i > 0 && r == d.shared {
+			break
+		}
+		v := View{
+			Endpoint: e.id, Waiting: len(d.waiting), Out: len(d.calls), GateShut: d.gate.shut, Average: d.gate.average,
+			Usual: e.usual, Limit: s.limit(r), Part: r.part, Tokens: s.tokensAt(r), Window: e.window.Size(s.now), Fails: r.fails,
+			Sick: r.sick, Returning: !r.sick && r.coldFrom > 0, WaitsUntil: r.waitUntil, TurnedAwayFor: e.window.TurnedAway(s.now),
+		}
+		if rate, bound := s.pace(r); bound {
+			v.Pace = rate
+		}
+		all = append(all, v)
+	}
+	return all
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"starlingusher/idle"
+	"starlingusher/outage"
+	"starlingusher/window"
 )
 
 // Sender decides for one delivery node.
@@ -48,7 +50,7 @@
 	leaveBy time.Duration // when the process ends; 0 while it stays
 	fadeGap time.Duration // of fade: the factor by which slot time fades in that time
 	fade    float64
-	failing float64 // smoothed share of failures at routes not known to be struck
+	failing outage.Share
 	actions []Action
 }
 
@@ -107,13 +109,16 @@
 	toldUntil time.Duration // the part of it that was told
 	limit     float64       // calls a second as reported
 	reported  bool
-	left      float64 // share of it left at the last report
+	loweredAt time.Duration // when a report told of a much lower limit than before,
+	raisedAt  time.Duration // and of a much higher one
+	left      float64       // share of it left at the last report
 	weight    float64
 	part      float64 // this sender's part of the limit
 	partAt    time.Duration
 	tokens    float64
 	tokensAt  time.Duration
-	fails     int           // failures in a row
+	fails     int // failures in a row
+	gap       outage.Gap
 	failedAt  time.Duration // the first of them
 	rest      time.Duration // after the last of the refusals in a row
 	sick      bool
@@ -141,6 +146,7 @@
 	sentAt   time.Duration // last call
 	gap      float64       // smoothed seconds between calls
 	out      int           // calls out
+	window   window.Window // of calls out, where no limit is told
 
 	// Its table of connections, once that was full.
 	crowdedAt time.Duration // the last sign of it
@@ -228,6 +234,9 @@
 	return old + smoothing*(min(sample, 20*old)-old)
 }
 
+// Knows tells that a destination is on the list, or was not long ago.
+func (s *Sender) Knows(dest int) bool { return s.dests[dest] != nil }
+
 // destination returns the state of a destination, new if it was not mentioned before.
 func (s *Sender) destination(id int) *destination {
 	d := s.dests[id]
@@ -335,6 +344,28 @@
 	return fresh
 }
 
+// recovering tells that the route is struck, or not yet surely warm again.
+func (r *route) recovering() bool { return r.sick || r.coldFrom > 0 }
+
+// unlimited tells that the route says that it has no limit: what it turns away finds its queue full.
+func (r *route) unlimited() bool { return r.reported && r.limit == 0 }
+
+// narrow has the calls to an endpoint that was struck grow from few again where no limit paces them: when the way back
+// ended, all that had gathered went out at once, was turned away, and read as the next outage.
+func (e *endpoint) narrow(now time.Duration) {
+	if e.route.unlimited() {
+		e.window.Shrink(now, 0)
+	}
+}
+
+// giveBack has a call not count whose connection broke or never came up: at a slow pace its messages would wait seconds for
+// the next. On the way back from an outage it counts, for it may have run.
+func (r *route) giveBack() {
+	if !r.recovering() {
+		r.tokens = max(r.tokens, min(r.tokens+1, 1))
+	}
+}
+
 // told has a wait bind.
 func (r *route) told(until time.Duration) {
 	r.waitUntil, r.toldUntil = max(r.waitUntil, until), max(r.toldUntil, until)
--- a/cmd/coralyard/recording.go
+++ b/cmd/coralyard/recording.go
@@ -14,6 +14,7 @@
 	"text/tabwriter"
 	"time"
 
+	"starlingusher/choice"
 	"starlingusher/daemon"
 	"starlingusher/record"
 	"starlingusher/record/account"
@@ -94,7 +95,7 @@
 }
 
 // accountOf reads a life. Damage is told on w, and what could be read is accounted for.
-func (p recordingPath) accountOf(w io.Writer, keep func(*account.Message) bool) (record.Header, account.Report, error) {
+func (p recordingPath) accountOf(w io.Writer, keep func(*account.Message) bool, after func(time.Duration, *choice.Sender)) (record.Header, account.Report, error) {
 	l, err := p.life()
 	if err != nil {
 		return record.Header{}, account.Report{}, err
@@ -104,6 +105,7 @@
 	err = l.Read(func(h record.Header) error {
 		if a == nil {
 			head, a = h, account.New(h, l.Whole, keep)
+			a.After(after)
 		}
 		return nil
 	}, func(r record.Record) error { return a.Add(r) })
@@ -158,12 +160,16 @@
 type recordingExplain struct {
 	recordingPath
 	filters
-	Worst int `help:"How many messages to tell of, those that lost most first." default:"10"`
+	Worst int           `help:"How many messages to tell of, those that lost most first." default:"10"`
+	Every time.Duration `help:"Tell what was believed of --dest in these steps of time, in place of messages." default:"0"`
 }
 
 // Run tells the lives of messages.
 func (c recordingExplain) Run() error {
-	_, r, err := c.accountOf(os.Stderr, c.wants)
+	if c.Every > 0 {
+		return c.beliefs()
+	}
+	_, r, err := c.accountOf(os.Stderr, c.wants, nil)
 	if err != nil {
 		return err
 	}
@@ -188,6 +194,50 @@
 	return nil
 }
 
+// beliefs prints what was believed of a destination over time.
+func (c recordingExplain) beliefs() error {
+	if c.Dest < 0 {
+		return errors.New("--every needs --dest")
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "at\tendpoint\twaiting\tout\tgate\taverage, s\tusual, s\tlimit\tpart\tpace\ttokens\twindow\tfails\tstate")
+	first, next := time.Duration(0), time.Duration(0)
+	_, r, err := c.accountOf(os.Stderr, nil, func(now time.Duration, s *choice.Sender) {
+		if first == 0 {
+			first, next = now, now
+		}
+		if now < next {
+			return
+		}
+		next += c.Every * (1 + (now-next)/c.Every)
+		for _, v := range s.Views(c.Dest) {
+			gate, state := "open", "well"
+			if v.GateShut {
+				gate = "shut"
+			}
+			switch {
+			case v.Sick:
+				state = "outage"
+			case v.Returning:
+				state = "returning"
+			case v.TurnedAwayFor > 0:
+				state = "turned away " + short(v.TurnedAwayFor)
+			}
+			if v.WaitsUntil > now {
+				state += ", waits " + short(v.WaitsUntil-now)
+			}
+			fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%s\t%.2f\t%.2f\t%.1f\t%.2f\t%.2f\t%.2f\t%.1f\t%d\t%s\n", short(now-first), v.Endpoint, v.Waiting, v.Out,
+				gate, v.Average, v.Usual, v.Limit, v.Part, v.Pace, v.Tokens, v.Window, v.Fails, state)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	t.Flush()
+	untrusted(os.Stdout, r)
+	return nil
+}
+
 func untrusted(w io.Writer, r account.Report) {
 	if r.Untrusted != "" {
 		fmt.Fprintln(w, "from some point on it is not known what held messages:", r.Untrusted)
@@ -223,7 +273,7 @@
 	if c.Window <= 0 {
 		return fmt.Errorf("--window: %v", c.Window)
 	}
-	head, r, err := c.accountOf(os.Stderr, nil)
+	head, r, err := c.accountOf(os.Stderr, nil, nil)
 	if err != nil {
 		return err
 	}
--- a/record/account/account.go
+++ b/record/account/account.go
@@ -126,6 +126,7 @@
 	ended  []*Message
 	calls  map[attempt]*times // out, by their first messages
 	why    string             // the replay can't be believed
+	after  func(now time.Duration, s *choice.Sender)
 	turned int
 }
 
@@ -149,6 +150,9 @@
 	return a
 }
 
+// After has f look at the decisions after each step that is played again. f must not change them.
+func (a *Account) After(f func(now time.Duration, s *choice.Sender)) { a.after = f }
+
 // distrust ends the replay.
 func (a *Account) distrust(why string) {
 	a.sender = nil
@@ -245,6 +249,9 @@
 	if a.sender != nil {
 		a.replay(events, actions)
 	}
+	if a.sender != nil && a.after != nil {
+		a.after(a.now, a.sender)
+	}
 	if a.sender != nil {
 		a.sender.Waiting(func(name string, why choice.Hold) {
 			if m := a.open[name]; m != nil && m.out == nil {
