--- a/window/window.go
+++ b/window/window.go
@@ -1,8 +1,9 @@
 // Package window says how many calls may be out at once at an endpoint that tells no limit but turns calls away when its
 // queue is full: a congestion window, that falls to what was taken when calls are turned away and grows by a call with
-// each window of calls that passed (additive increase, as in RFC 5681, section 3.1). Calls that take much longer than they
-// took at best wait in the queue: more of them would get nothing done and hold slots that others want, so the window then
-// stays, or falls as slowly as it grew. It has no I/O and no clock of its own, and a Window is not safe for concurrent use.
+// each window of calls that passed (additive increase, as in RFC 5681, section 3.1), more slowly where the last one was
+// turned away. Calls that take much longer than they took at best wait in the queue: more of them would get nothing done
+// and hold slots that others want, so the window then stays, or falls as slowly as it grew. It has no I/O and no clock of
+// its own, and a Window is not safe for concurrent use.
 //
 // A full queue and an outage look alike in a single refusal. What tells them apart is whether anything passes meanwhile:
 // a run of refusals without a pass that lasts longer than a pause would is a sign of an outage.
@@ -22,6 +23,7 @@
 
 	weight   = 0.2              // of a call in the mean time that calls take
 	bestSpan = 60 * time.Second // the best mean grows by a factor e in this time, lest it stay one lucky moment's
+	probing  = 0.25             // of the usual growth above what was taken at the last refusal
 	enough   = 2.0              // a mean of so many times the best is no reason to send more at once,
 	tooMuch  = 3.0              // and one of so many is a reason to send less
 )
@@ -29,6 +31,7 @@
 // Window is of one endpoint. The zero value is open.
 type Window struct {
 	size    float64       // calls; 0 while it is open
+	full    float64       // what was taken at the last refusal; 0 if there was none
 	fullAt  time.Duration // the last refusal
 	refused time.Duration // the first refusal since the last pass; 0 none
 	mean    float64       // seconds that calls took of late,
@@ -43,6 +46,7 @@
 		w.refused = max(now, 1)
 	}
 	w.Shrink(now, out)
+	w.full = w.size
 	return w.TurnedAway(now) > Pause
 }
 
@@ -68,8 +72,10 @@
 	w.at = now
 	switch {
 	case !w.bounded(now) || float64(out+1) < w.size/2:
-	case w.mean <= enough*w.best:
+	case w.mean <= enough*w.best && (w.full == 0 || w.size < w.full):
 		w.size += 1 / w.size
+	case w.mean <= enough*w.best:
+		w.size += probing / w.size
 	case w.mean > tooMuch*w.best:
 		w.size = max(w.size-1/w.size, least)
 	}
