--- a/record/reader.go
+++ b/record/reader.go
@@ -44,7 +44,7 @@
 // Life is what is left of one life of a node: its segments in order.
 type Life struct {
 	Node  string
-	Began int64 // Unix time in nanoseconds at which the clock of the recording shows 0
+	Began int64 // Unix time in nanoseconds
 	Files []string
 	Whole bool // the first segment is there, and none is missing in between: it can be played again
 }
--- a/record/record.go
+++ b/record/record.go
@@ -26,7 +26,8 @@
 	Schema   int
 	Build    string // of the program that wrote it
 	Name     string // of the node
-	Life     int64  // Unix time in nanoseconds at which the clock of the recording shows 0
+	Life     int64  // Unix time in nanoseconds at which it began
+	Zero     int64  // and at which the clock of the recording shows 0
 	Segment  int    // counted from 1 in each life; the first holds the start, from which it can be played again
 	Settings choice.Settings
 	Seed     uint64
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -374,6 +375,34 @@
 	}
 }
 
+// A folder that can't be written ends the recording, once and in words, and holds nobody up.
+func TestARecordingThatCantBeWritten(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "r")
+	var log bytes.Buffer
+	w, err := record.NewWriter(record.Options{Folder: folder, Bytes: 1 << 20, Log: slog.New(slog.NewTextHandler(&log, nil))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.Opened(settings(), 7, time.Unix(1, 0))
+	w.Flush()
+	if err := os.RemoveAll(folder); err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range 5000 {
+		w.Handed(delivery.Handed{Name: fmt.Sprint(i), ID: fmt.Sprintf("%x%x%x%x", rng.Uint64(), rng.Uint64(), rng.Uint64(), rng.Uint64())})
+		if i%100 == 0 {
+			w.Flush()
+		}
+	}
+	if err := w.Close(); !errors.Is(err, os.ErrNotExist) || strings.Count(log.String(), "\n") != 1 {
+		t.Errorf("%v; its log: %s", err, log.String())
+	}
+	if _, err := record.NewWriter(record.Options{Folder: os.Args[0], Bytes: 1 << 20}); err == nil {
+		t.Error("a file is taken for a folder")
+	}
+}
+
 // A recording that does not play again as it was is never wrong in silence.
 func TestAnotherBuildsRecording(t *testing.T) {
 	folder := t.TempDir()
--- a/record/writer.go
+++ b/record/writer.go
@@ -84,9 +84,9 @@
 // The wrappers of what the engine hands over, beside delivery.Handed, Turned and Called.
 type (
 	opened struct {
-		settings choice.Settings
-		seed     uint64
-		zero     time.Time
+		settings    choice.Settings
+		seed        uint64
+		zero, began time.Time
 	}
 	stepped struct {
 		now     time.Duration
@@ -124,7 +124,9 @@
 }
 
 // Opened is delivery.Recorder's.
-func (w *Writer) Opened(s choice.Settings, seed uint64, zero time.Time) { w.put(opened{s, seed, zero}) }
+func (w *Writer) Opened(s choice.Settings, seed uint64, zero time.Time) {
+	w.put(opened{s, seed, zero, time.Now()})
+}
 
 // Handed is delivery.Recorder's.
 func (w *Writer) Handed(h delivery.Handed) { w.put(h) }
@@ -227,7 +229,7 @@
 	var item Record
 	switch r := r.(type) {
 	case opened:
-		w.head = Header{Schema: Schema, Build: w.o.Build, Name: w.o.Name, Life: r.zero.UnixNano(), Settings: r.settings, Seed: r.seed}
+		w.head = Header{Schema: Schema, Build: w.o.Build, Name: w.o.Name, Life: r.began.UnixNano(), Zero: r.zero.UnixNano(), Settings: r.settings, Seed: r.seed}
 		return w.beginSegment()
 	case stepped:
 		s := &Step{Now: r.now, Events: make([]Event, len(r.events)), Actions: make([]Action, len(r.actions))}
@@ -258,16 +260,7 @@
 	if w.raw.n < chunkBytes {
 		return nil
 	}
-	if err := w.chunk(); err != nil {
-		return err
-	}
-	if w.written < w.o.Bytes/segments {
-		return nil
-	}
-	if err := w.endSegment(); err != nil {
-		return err
-	}
-	return w.beginSegment()
+	return w.chunk()
 }
 
 // beginSegment makes room, and opens the next file.
@@ -290,7 +283,7 @@
 	return w.items.Encode(w.head)
 }
 
-// chunk writes what has gathered.
+// chunk writes what has gathered, and goes on to the next segment if this one is full.
 func (w *Writer) chunk() error {
 	if w.file == nil || w.raw.n == 0 {
 		return nil
@@ -298,7 +291,13 @@
 	if err := w.zip.Flush(); err != nil {
 		return err
 	}
-	return w.emit()
+	if err := w.emit(); err != nil || w.written < w.o.Bytes/segments {
+		return err
+	}
+	if err := w.endSegment(); err != nil {
+		return err
+	}
+	return w.beginSegment()
 }
 
 func (w *Writer) emit() error {
@@ -337,8 +336,7 @@
 	}, cmp.Or(name, "node"))
 }
 
-// makeRoom removes the oldest segments of a folder until the rest take no more than that many bytes. Which is oldest its
-// name tells: the clocks of lives go on from one to the next.
+// makeRoom removes the oldest segments of a folder, as their names tell, until the rest take no more than that many bytes.
 func makeRoom(folder string, most int64) error {
 	all, err := segmentsOf(folder)
 	if err != nil {
