choice: a backlog that is gone no longer keeps the gate shut

Of a hold counts now no more than the oldest has waited that waits at that moment. A module test fails without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -517,16 +517,16 @@
 	return s.cfg.MaxAttempts > 0 && m.attempts >= s.cfg.MaxAttempts
 }
 
-// sample is the one place that turns outcomes into gate samples. Whatever did not deliver is charged as slow,
-// or fast errors would make the ratio read healthy while everything is rejected; a refusal for being over a
-// limit is pacing news and no sample, for the hold that follows shows in the final one. Of a message held
-// through an outage, or a limit that was raised since, only the time since counts (the call itself in any
-// case): its hold says nothing of what a new one would meet, and kept the gate shut to such in time.
+// sample is the one place that turns outcomes into gate samples. What did not deliver is charged as slow, or
+// fast errors would read healthy while everything is rejected; a refusal over a limit is pacing news and no
+// sample, for its hold shows in the final one. Of a hold counts only the time since an outage ended or a
+// limit was raised, and no more than the oldest has waited that waits now: the rest tells a new one nothing.
 func (s *Sender) sample(m *message, c *call, o Outcome, lone bool) {
 	if lone || (m.spare && o != Pass) {
 		return // a spare one shuts the gate to nobody
 	}
-	sec := seconds(s.now - max(m.arrived, min(max(c.ep.route.coldFrom, c.ep.route.raisedAt), c.sentAt)))
+	from := max(m.arrived, min(max(c.ep.route.coldFrom, c.ep.route.raisedAt), c.sentAt))
+	sec := seconds(min(s.now-from, s.now-c.sentAt+m.dest.oldest(s.now)))
 	if m.spare {
 		sec = seconds(s.now - c.sentAt)
 	}
@@ -835,12 +835,12 @@
 	return seconds(s.now-c.sentAt) > max(lostFactor*c.ep.usual, seconds(lostLeast))
 }
 
-// lost tells that a call is overdue though one sent later to the same endpoint has passed in the usual time:
-// its connection or its answer is gone, and its silence says nothing of the destination. Without this, single
-// calls lost on the way, payouts above all, which are out for all their time, made every busy destination
-// look slow, and then struck. It guards as well against answers that are dropped or held back one by one. It
-// could do harm where an endpoint serves some calls fast and lets others hang for good: those hold slots
-// beyond the slow share, until none is free and preempt takes them first.
+// lost tells that a call is overdue though one sent later to the same endpoint has passed in the usual
+// time: its connection or its answer is gone, and its silence says nothing of the destination. Without
+// this, single calls lost on the way, payouts above all, which are out for all their time, made every busy
+// destination look slow, and then struck. It could do harm where an endpoint serves some calls fast and
+// lets others hang for good: those hold slots beyond the slow share, until none is free and preempt takes
+// them first.
 func (s *Sender) lost(c *call) bool { return c.sentAt < c.ep.provenAt && s.overdue(c) }
 
 // slow tells that a destination's oldest call, of those not lost, has been out far longer than usual: before
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -628,3 +628,29 @@
 		t.Errorf("%d messages are left, %d calls at a time after the first, taken for an outage: %v", left, most, r.recovering())
 	}
 }
+
+// A backlog that is gone says nothing of what a new message meets: the gate opens as it drains, where it stayed shut for
+// seconds after it was empty.
+func TestTheGateOpensAsABacklogDrains(t *testing.T) {
+	cfg := settings()
+	cfg.Slots = 4
+	w := newStory(t, cfg, 1)
+	w.step(0, list(Entry{Endpoint: "a", Dest: 0}))
+	deadline := cfg.Classes[0].Deadline
+	var backlog []Event
+	for i := range 8 {
+		backlog = append(backlog, w.arrive(fmt.Sprint("m", i), 0, 0))
+	}
+	w.step(5*ms, backlog...)
+	d := w.s.dests[0]
+	for i := 0; len(w.flights()) > 0; i++ {
+		var events []Event
+		for _, a := range w.flights() {
+			events = append(events, Ended{ID: a.id, Attempt: a.n, Endpoint: "a", Outcome: Pass, Took: deadline / 5, Closed: true})
+		}
+		w.step(deadline/5, events...)
+	}
+	if got := d.gate.average; got > 0.25*seconds(deadline) {
+		t.Errorf("calls take a fifth of the deadline and nothing waits: the gate goes by %v of %v s", got, seconds(deadline))
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -347,6 +347,14 @@
 // recovering tells that the route is struck, or not yet surely warm again.
 func (r *route) recovering() bool { return r.sick || r.coldFrom > 0 }
 
+// oldest is for how long the message has waited that has waited the longest.
+func (d *destination) oldest(now time.Duration) time.Duration {
+	if len(d.waiting) == 0 {
+		return 0
+	}
+	return now - d.waiting[0].arrived
+}
+
 // unlimited tells that the route says that it has no limit: what it turns away finds its queue full.
 func (r *route) unlimited() bool { return r.reported && r.limit == 0 }
 
