--- a/internal/node/batches_test.go
+++ b/internal/node/batches_test.go
@@ -73,6 +73,67 @@
 	}
 }
 
+// A kept connection that resets under a call with ten costs all ten their answers, and no more: the call is told as cut on
+// a kept connection, and an answer that had come whole counts, whatever the connection does behind it.
+func TestAKeptConnectionResetsUnderACallWithSeveral(t *testing.T) {
+	const ten = 10
+	tell := func(n int, state string) string {
+		var all []string
+		for i := range n {
+			all = append(all, fmt.Sprintf(`{"id":%q,"state":%q}`, string(rune('a'+i)), state))
+		}
+		return "[" + strings.Join(all, ",") + "]"
+	}
+	whole := answered("200 OK", tell(ten, "accepted"))
+	for _, c := range []struct {
+		name, says string
+		passed     int // the first so many are delivered; the others may have run
+		cut        bool
+	}{
+		{"before the answer", "", 0, true},
+		{"in the first line", "HTTP/1.1 20", 0, true},
+		{"in the answer", whole[:len(whole)/2], 0, true},
+		{"before its last byte", whole[:len(whole)-1], 0, true},
+		{"after the answer", whole, ten, false},
+		{"after one that tells of six", answered("200 OK", tell(6, "accepted")), 6, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			calls := 0
+			p := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+				if calls++; calls == 1 {
+					_, err := io.WriteString(nc, whole)
+					return err == nil
+				}
+				io.WriteString(nc, c.says)
+				if c.cut {
+					nc.(*net.TCPConn).SetLinger(0)
+				}
+				nc.Close()
+				return false
+			})
+			pool, e := testPool(), endpointAt(p.Addr())
+			for i, res := range pool.AttemptAll(t.Context(), batchOf(e, ten)) {
+				if res.Outcome != choice.Pass {
+					t.Fatalf("%d: the first call: %+v", i, res)
+				}
+			}
+			for i, res := range pool.AttemptAll(t.Context(), batchOf(e, ten)) {
+				want := choice.Fault
+				switch {
+				case i < c.passed:
+					want = choice.Pass
+				case c.cut:
+					want = choice.Cut
+				}
+				if res.Outcome != want || !res.Kept || res.NotRun || res.Closed != (want == choice.Pass) {
+					t.Errorf("%d: got %+v", i, res)
+				}
+			}
+			eventually(t, "the broken connection is dropped", func() bool { return keptBy(pool) == 0 })
+		})
+	}
+}
+
 // What does not answer is out to the latest of the times, and the connection is closed: then no message is out there.
 func TestACallWithSeveralIsGivenUpWhole(t *testing.T) {
 	closed := make(chan bool, 1)
--- a/record/account/account.go
+++ b/record/account/account.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"starlingusher/choice"
+	"starlingusher/delivery"
 	"starlingusher/record"
 )
 
@@ -202,9 +203,14 @@
 	m := &Message{Name: fmt.Sprintf("t%d", a.turned), Front: t.Front, ID: t.ID, Class: t.Class, Tenant: t.Tenant, Dest: t.Dest,
 		Came: t.Came, since: t.Came, held: Intake, After: t.After}
 	fate := RefusedOther
-	if t.Why == "room" {
+	if t.Why == delivery.TurnedByRoom {
 		fate = RefusedRoom
 	}
+	for name, o := range a.open { // it was handed in already, and could not be written
+		if t.Why == delivery.TurnedByDisk && o.held == Intake && o.ID == t.ID && o.Front == t.Front {
+			delete(a.open, name)
+		}
+	}
 	m.Worth = a.class(m.Class).Worth
 	a.end(m, t.At, fate)
 }
--- a/record/account/account_test.go
+++ b/record/account/account_test.go
@@ -74,6 +74,8 @@
 func TestWorthAndBlame(t *testing.T) {
 	var r recording
 	r = append(r, record.Record{Turned: &delivery.Turned{At: 5 * ms, Came: 5 * ms, ID: "t", Why: delivery.TurnedByRoom}})
+	r = append(r, record.Record{Handed: &delivery.Handed{Name: "9", ID: "d", Came: 5 * ms}},
+		record.Record{Turned: &delivery.Turned{At: 6 * ms, Came: 5 * ms, ID: "d", Why: delivery.TurnedByDisk}})
 	r.step(10*ms, []choice.Event{arrived("1", 0), arrived("2", 0), arrived("3", 0)}, choice.PushBack{ID: "3", Why: choice.ByGate, RetryAfter: time.Second},
 		choice.Send{ID: "1", Endpoint: "e"}, choice.Send{ID: "2", Endpoint: "e"})
 	r.step(time.Second, []choice.Event{choice.Ended{ID: "1", Outcome: choice.Pass, Closed: true}})
@@ -90,7 +92,7 @@
 	if got["1"].Got != 2 || got["2"].Got != 1.5 || got["3"].Got != 0 || got["3"].Noticed != 3*time.Second || got["t1"].Fate != RefusedRoom {
 		t.Errorf("%+v %+v %+v %+v", got["1"], got["2"], got["3"], got["t1"])
 	}
-	if sum.Turned != 4 || sum.Blame[Wire] != 0.5 || sum.Worth != 8 || sum.Got != 3.5 {
+	if sum.Messages != 5 || sum.Turned != 6 || sum.Blame[Wire] != 0.5 || sum.Worth != 10 || sum.Got != 3.5 {
 		t.Errorf("%+v", sum)
 	}
 	if w := Worst(report.Messages, 2); len(w) != 2 || w[0].Lost() != 2 {
