--- a/cmd/coralyard/recording_test.go
+++ b/cmd/coralyard/recording_test.go
@@ -40,7 +40,11 @@
 	if len(taken) != len(ids) {
 		t.Fatalf("%d of %d are taken on", len(taken), len(ids))
 	}
-	time.Sleep(300 * time.Millisecond) // longer than messages live
+	for end := time.Now().Add(patience); len(s.ledger.Calls()) < len(ids); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not all messages are sent")
+		}
+	}
 	if err := node.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
