--- a/choice/state.go
+++ b/choice/state.go
@@ -117,9 +117,9 @@
 	partAt    time.Duration
 	tokens    float64
 	tokensAt  time.Duration
-	fails     int // failures in a row
-	gap       outage.Gap
+	fails     int           // failures in a row
 	failedAt  time.Duration // the first of them
+	gap       outage.Gap    // since the last pass
 	rest      time.Duration // after the last of the refusals in a row
 	sick      bool
 	harmless  bool // the last failure proved that nothing ran
--- a/cmd/coralyard/recording.go
+++ b/cmd/coralyard/recording.go
@@ -320,7 +320,7 @@
 	return 100 * part / of
 }
 
-// table prints a line for each key, with the three spans that took longest.
+// table prints a line for each key, with the four spans that took longest.
 func table(w io.Writer, name string, all []*account.Message, key func(*account.Message) int) {
 	keys, sums := account.By(all, key)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
--- a/record/account/account.go
+++ b/record/account/account.go
@@ -104,7 +104,6 @@
 
 // flight is a call of which a message waits for the outcome.
 type flight struct {
-	sent     time.Duration
 	endpoint string
 	times    *times // of the call, once it is known
 }
@@ -255,16 +254,17 @@
 	if a.sender != nil {
 		a.replay(events, actions)
 	}
-	if a.sender != nil && a.after != nil {
-		a.after(a.now, a.sender)
+	if a.sender == nil { // it is not believed, or no more
+		return nil
 	}
-	if a.sender != nil {
-		a.sender.Waiting(func(name string, why choice.Hold) {
-			if m := a.open[name]; m != nil && m.out == nil {
-				a.hold(m, Span(why))
-			}
-		})
+	if a.after != nil {
+		a.after(a.now, a.sender)
 	}
+	a.sender.Waiting(func(name string, why choice.Hold) {
+		if m := a.open[name]; m != nil && m.out == nil {
+			a.hold(m, Span(why))
+		}
+	})
 	return nil
 }
 
@@ -355,7 +355,7 @@
 			a.calls[attempt{x.ID, m.Attempts}] = mate
 		}
 		a.spend(m, a.now, m.held, "", "")
-		m.out = &flight{a.now, x.Endpoint, mate}
+		m.out = &flight{x.Endpoint, mate}
 		m.Attempts++
 	case choice.PushBack:
 		m := a.open[x.ID]
--- a/record/writer.go
+++ b/record/writer.go
@@ -53,7 +53,6 @@
 	in      chan any
 	done    chan struct{}
 	missing int // records thrown away since the last that was not; of the engine's goroutine
-	enc     cbor.EncMode
 	salt    maphash.Seed
 
 	// Of the writer's goroutine.
@@ -63,9 +62,7 @@
 	out     bytes.Buffer // compressed, not yet in the file
 	items   *cbor.Encoder
 	raw     counter
-	inChunk int64
 	written int64 // to this segment
-	began   time.Time
 	failed  error
 }
 
@@ -111,7 +108,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("recording: %w", err)
 	}
-	w := &Writer{o: o, in: make(chan any, queue), done: make(chan struct{}), enc: enc, salt: maphash.MakeSeed()}
+	w := &Writer{o: o, in: make(chan any, queue), done: make(chan struct{}), salt: maphash.MakeSeed()}
 	w.zip, err = zstd.NewWriter(&w.out, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
 		zstd.WithWindowSize(window), zstd.WithLowerEncoderMem(true))
 	if err != nil {
