fleet: idle connections only by this sender's part of an endpoint's places

Ruled out as the first cause: limits (2% of the calls), faults, time-outs. At fault: giveBack in choice.go, which kept one connection a node even while a table was full, and any number while messages waited that their pace held back, and crowd, which tried a full table again after 0.12 to 0.24 s for ever.

fleet/ is a pure module: Table keeps idle connections by a part of 8/n, halved at a full table, growing by (8/n)^2 with each new connection that passes, and tries a full one again after a pause that doubles to 2 s, stretched by chance. With few nodes all are kept until a table was full and one after, as before.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,7 +40,6 @@
 
 	// Connections.
 	crowdedSpan = 30 * time.Second // idle ones are given back so long after a sign of a full one
-	roomGrow    = 2.0              // calls a second that are tried there beyond those known to fit
 	wornSpan    = 10 * time.Second // kept connections are not trusted so long after one broke under a call
 
 	// Slots.
@@ -587,6 +586,7 @@
 		}
 		ep.usual, ep.response = ease(ep.usual, took), ease(ep.response, took)
 		ep.window.Passed(s.now, ep.out, e.Took)
+		ep.table.Passed(s.now, s.cfg.Fleet, !e.Kept)
 		if r.fails > 0 && r.harmless && !r.sick && !s.cfg.FullTold {
 			s.crowded[ep.dest.kind] = s.now + crowdedSpan // no connection, then a pass: a full table
 		}
@@ -630,11 +630,13 @@
 func (s *Sender) giveBack(ep *endpoint) {
 	unused := s.cfg.ConnIdle > 0 && (ep.gap == 0 || ep.gap > seconds(s.cfg.ConnIdle))
 	switch {
-	case len(ep.dest.waiting) > 0:
+	case len(ep.dest.waiting) > 0 && s.routeOpen(ep):
 	case unused || s.now < s.crowded[ep.dest.kind]:
 		s.do(HangUp{Endpoint: ep.id})
-	case ep.room > 0 && s.now-ep.crowdedAt < crowdedSpan:
-		s.do(HangUp{Endpoint: ep.id, Keep: 1})
+	default:
+		if keep := ep.table.Keep(s.cfg.Fleet, s.rng.Float64()); keep >= 0 {
+			s.do(HangUp{Endpoint: ep.id, Keep: keep})
+		}
 	}
 }
 
@@ -645,10 +647,7 @@
 // guards against any peer that sheds connections rather than calls. It could do harm at one that hangs up
 // so on whatever is above its limit: the pace would fall by the connections alone.
 func (s *Sender) crowd(ep *endpoint) {
-	if ep.out == 0 { // nothing of ours is there: somebody else has to leave first
-		ep.shyTil = s.now + refusedRest + time.Duration(s.rng.Int64N(int64(refusedRest)))
-	}
-	ep.room, ep.crowdedAt = float64(max(ep.out, 1)), s.now
+	ep.table.Full(s.now, s.cfg.Fleet, ep.out, s.rng.Float64())
 	for _, c := range ep.dest.calls {
 		if c.ep == ep && s.lost(c) {
 			s.callOff(c)
@@ -1017,7 +1016,7 @@
 	soon, never := s.now+1, time.Duration(math.MaxInt64)
 	turn := never
 	for _, e := range d.endpoints {
-		at, r := max(e.route.waitUntil, e.shyTil, soon), e.route
+		at, r := max(e.route.waitUntil, e.table.Open(), soon), e.route
 		if !e.ready || (r.sick && r.trial) {
 			continue
 		}
@@ -1153,7 +1152,7 @@
 // routeOpen is the part of the check that hangs on the endpoint alone: drain, wait, health, budget and pace.
 func (s *Sender) routeOpen(e *endpoint) bool {
 	r := e.route
-	if !e.ready || s.now < r.waitUntil || r.tokens < 1 || s.now < e.shyTil || s.tableFull(e) ||
+	if !e.ready || s.now < r.waitUntil || r.tokens < 1 || !e.table.Allows(s.now, e.out) ||
 		(!r.recovering() && !e.window.Allows(s.now, e.out)) { // the way back has a pace of its own
 		return false
 	}
--- a/choice/explain.go
+++ b/choice/explain.go
@@ -89,7 +89,7 @@
 		return HoldTold
 	case s.now < r.waitUntil:
 		return HoldRest
-	case s.now < e.shyTil || s.tableFull(e):
+	case !e.table.Allows(s.now, e.out):
 		return HoldTable
 	case !r.recovering() && !e.window.Allows(s.now, e.out):
 		return HoldWindow
@@ -117,12 +117,6 @@
 	return r.tokens + rate*seconds(s.now-r.tokensAt)
 }
 
-// tableFull tells that an endpoint's connections are all in use, as far as it is known how many it takes.
-func (s *Sender) tableFull(e *endpoint) bool {
-	since := s.now - e.crowdedAt
-	return e.room > 0 && since < crowdedSpan && float64(e.out) >= e.room+roomGrow*seconds(since)
-}
-
 // firstOfLine tells that nobody with the message's key stands before it.
 func (s *Sender) firstOfLine(m *message) bool {
 	for _, o := range s.lines[m.key] {
--- a/choice/state.go
+++ b/choice/state.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"starlingusher/fleet"
 	"starlingusher/idle"
 	"starlingusher/outage"
 	"starlingusher/window"
@@ -147,11 +148,7 @@
 	gap      float64       // smoothed seconds between calls
 	out      int           // calls out
 	window   window.Window // of calls out, where no limit is told
-
-	// Its table of connections, once that was full.
-	crowdedAt time.Duration // the last sign of it
-	room      float64       // calls that fitted then; 0 if it never was
-	shyTil    time.Duration // with no call there it is left alone until then
+	table    fleet.Table   // of connections
 }
 
 type message struct {
