Discovery: eighty nodes ask it for the list spread over seconds, and ever more rarely

Ruled out: the revision asked for (the agent answers after=0 at once), the silence of 2.5 s (no watch ended by it). At fault: watch in discovery.go, whose pauses of 50 ms up to 2 s are those of a node that is alone; a discovery that takes one call from each of eighty in 2 to 8 s is asked 40 times a second and stays behind for ever.

fleet.Asking spreads first calls over n times 50 ms, 4 s at most, where there is a list to go on with, and repeats over n times 100 ms, doubled to n times 200 ms, uniformly; with few nodes it doubles up to 2 s as before. It is reset by a list that names somebody, or by a watch that stood. A watch that ended is in the log, with when it is asked again.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -16,6 +16,7 @@
 
 	"starlingusher/choice"
 	"starlingusher/delivery"
+	"starlingusher/fleet"
 	"starlingusher/internal/wire"
 )
 
@@ -94,11 +95,11 @@
 var errBehind = errors.New("the list is older than what was told before")
 
 // watch follows discovery until the context ends, and hands each list on. One that is not taken ends its watch,
-// and is asked for again.
-func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, tell func(list) error) {
-	var pause backoff
+// and is asked for again. All nodes of the fleet ask the same discovery.
+func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, nodes int, tell func(list) error) {
+	var asking fleet.Asking
 	for ctx.Err() == nil {
-		first := true
+		first, began := true, time.Now()
 		err := watchOnce(ctx, client, addr, after, func(l list) error {
 			if first {
 				log.Info("watching", "discovery", addr, "after", after, "revision", l.Revision, "complete", l.Complete,
@@ -107,12 +108,19 @@
 			if err := tell(l); err != nil {
 				return err
 			}
-			after, pause, first = l.Revision, 0, false
+			after, first = l.Revision, false
+			if len(l.Members) > 0 {
+				asking.Told()
+			}
 			return nil
 		})
+		if time.Since(began) > watchSilence {
+			asking.Told() // it stood
+		}
 		if ctx.Err() == nil {
-			log.Debug("watch ended", "err", err)
-			sleep(ctx, pause.next())
+			pause := asking.Failed(nodes, rand.Float64())
+			log.Info("watch ended", "discovery", addr, "after", after, "err", err, "again_in", pause)
+			sleep(ctx, pause)
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,7 @@
 
 // New loads the journal.
 func New(cfg Config, log *slog.Logger, x Extras) (*Node, error) {
-	n := &Node{cfg: cfg, log: log, agent: newAgent(cfg.Discovery, cfg.Known.Revision, cfg.Names, log)}
+	n := &Node{cfg: cfg, log: log, agent: newAgent(cfg.Discovery, cfg.Known, cfg.Settings.Fleet, cfg.Names, log)}
 	own := delivery.Front{
 		Name: Front, Sink: n.agent, Leave: func() { n.clients.close() },
 		Carrier: NewCarrier(cfg, x.Carriers),
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -255,7 +255,7 @@
 	defer cancel()
 	var ended sync.WaitGroup
 	ended.Go(func() {
-		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 0, func(list) error { return nil })
+		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 0, 1, func(list) error { return nil })
 	})
 	<-watches
 	if again := <-watches; again > 8*time.Second {
@@ -291,7 +291,7 @@
 				return srv.Listener.Addr().String()
 			}
 			told := make(chan delivery.List, 10)
-			a := newAgent(serve(func() int { return 5 }), 0, wire.Names{}, slog.New(slog.DiscardHandler))
+			a := newAgent(serve(func() int { return 5 }), list{}, 1, wire.Names{}, slog.New(slog.DiscardHandler))
 			ctx, cancel := context.WithCancel(t.Context())
 			var ended sync.WaitGroup
 			ended.Go(func() { a.Watch(ctx, func(l delivery.List) { told <- l }) })
