--- a/choice/fleet_test.go
+++ b/choice/fleet_test.go
@@ -3,7 +3,10 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -15,6 +18,7 @@
 	length   time.Duration
 	load     float64 // first tries, over all limits
 	clumps   float64 // share of the messages that come in clumps
+	killed   int     // so many nodes die at 12 s, and are back 1.5 s later with what they had taken on
 }
 
 // sharedPartner takes so many calls a second from all senders together; refused calls use that up too, into a debt.
@@ -110,16 +114,19 @@
 	now     time.Duration
 	seq     int
 	senders []*Sender
+	lives   []int                    // of each node; an odd number of deaths and returns is a dead one
 	open    map[string]*fleetMessage // by id, each time that it is handed in
-	calls   int
 	refused int
 	asked   int
 	worth   float64
 }
 
 type fleetMessage struct {
+	id                          string
 	node, dest, attempts, tries int
 	born                        time.Duration
+	sent                        time.Duration // the first attempt that may have run
+	got                         bool          // it was delivered, whatever its node knows
 }
 
 func (r *fleetRun) at(t time.Duration, do func()) {
@@ -129,10 +136,46 @@
 
 // offer hands a message in. It comes again up to twice when it is turned away.
 func (r *fleetRun) offer(m fleetMessage) {
+	if r.dead(m.node) {
+		r.at(r.now+time.Second, func() { r.offer(m) })
+		return
+	}
 	r.seq++
-	id := fmt.Sprint("m", r.seq)
-	r.open[id] = &m
-	r.step(m.node, Arrived{ID: id, Dest: m.dest, DropDead: m.born + fleetLife})
+	m.id = fmt.Sprint("m", r.seq)
+	r.open[m.id] = &m
+	r.step(m.node, m.arrived())
+}
+
+func (m *fleetMessage) arrived() Arrived {
+	return Arrived{ID: m.id, Dest: m.dest, DropDead: m.born + fleetLife}
+}
+
+func (r *fleetRun) dead(node int) bool { return r.lives[node]%2 == 1 }
+
+// later does something for a node in a while, unless it has died before.
+func (r *fleetRun) later(node int, t time.Duration, do func()) {
+	life := r.lives[node]
+	r.at(t, func() {
+		if r.lives[node] == life {
+			do()
+		}
+	})
+}
+
+// kill has a node die and come back with what it had taken on.
+func (r *fleetRun) kill(node int, entries []Entry) {
+	r.lives[node]++
+	r.at(r.now+1500*time.Millisecond, func() {
+		r.lives[node]++
+		r.senders[node] = New(r.senders[node].cfg, uint64(r.seq))
+		events := []Event{Listed{Whole: true, Entries: entries}}
+		for _, m := range slices.SortedFunc(maps.Values(r.open), func(a, b *fleetMessage) int { return strings.Compare(a.id, b.id) }) {
+			if m.node == node {
+				events = append(events, Resumed{Arrived: m.arrived(), Attempts: m.attempts, Touched: m.sent > 0, MayRun: m.sent})
+			}
+		}
+		r.step(node, events...)
+	})
 }
 
 func (r *fleetRun) step(node int, events ...Event) {
@@ -141,14 +184,13 @@
 		case Send:
 			r.call(node, a)
 		case Wake:
-			r.at(a.At, func() { r.step(node, Rang{Tag: a.Tag}) })
+			r.later(node, a.At, func() { r.step(node, Rang{Tag: a.Tag}) })
 		case Fail:
 			delete(r.open, a.ID)
 		case PushBack:
 			m := *r.open[a.ID]
 			delete(r.open, a.ID)
-			m.tries++
-			m.attempts = 0
+			m = fleetMessage{node: m.node, dest: m.dest, tries: m.tries + 1, born: m.born, got: m.got}
 			back := r.now + max(a.RetryAfter, 400*time.Millisecond) + time.Duration(r.rng.Int64N(int64(time.Second)))
 			if m.tries <= 2 && back < m.born+fleetLife {
 				r.at(back, func() { r.offer(m) })
@@ -161,27 +203,33 @@
 	m := r.open[a.ID]
 	attempt, began, p := m.attempts, r.now, r.partners[m.dest]
 	m.attempts++
+	if m.sent == 0 {
+		m.sent = r.now
+	}
 	way := func() time.Duration { return time.Duration(float64(fleetWay) * (0.8 + 0.4*r.rng.Float64())) }
 	r.at(r.now+way(), func() {
 		end := Ended{ID: a.ID, Attempt: attempt, Endpoint: a.Endpoint, Outcome: NoRoute}
 		took := way()
-		if r.calls++; p.down == nil || !p.down(r.now) {
+		if p.down == nil || !p.down(r.now) {
 			end.Outcome, end.Report = p.call(r.now, r.rng)
 		}
 		switch end.Outcome {
 		case Pass:
 			end.Closed = true
 			took += time.Duration(r.rng.ExpFloat64() * float64(30*time.Millisecond))
-			if age := r.now + took - m.born; age <= fleetAim {
-				r.worth++
-			} else {
-				r.worth += 1 - 0.7*seconds(age-fleetAim)/seconds(fleetLife-fleetAim)
+			if age := r.now + took - m.born; !m.got {
+				r.worth += min(1, 1-0.7*seconds(age-fleetAim)/seconds(fleetLife-fleetAim))
 			}
+			m.got = true
 		case NoRoom:
 			r.refused++
 		}
-		r.at(r.now+took, func() {
-			end.Took = r.now - began
+		r.later(node, r.now+took, func() {
+			if end.Took = r.now - began; end.Closed {
+				delete(r.open, a.ID)
+			} else {
+				m.sent = 0
+			}
 			r.step(node, end)
 		})
 	})
@@ -205,7 +253,11 @@
 			RoughWeights: true, FullTold: true, MaxRetryAfter: 3 * time.Second, ConnIdle: 5 * time.Second, Tick: time.Millisecond,
 			FallMultiple: fleetStands, Fall: 2 * time.Second, ColdFrom: fleetCold, WarmWithin: fleetWarm,
 		}, seed*1000+uint64(i)))
+		r.lives = append(r.lives, 0)
 		r.step(i, Listed{Whole: true, Entries: entries})
+		if i < d.killed {
+			r.at(12*time.Second, func() { r.kill(i, entries) })
+		}
 	}
 	for dest, p := range d.partners {
 		perSecond := p.limit(0) * d.load
@@ -260,6 +312,7 @@
 		limits  []float64
 		limit   func(float64) func(time.Duration) float64
 		down    int // so many of the partners are, from 10 to 15 s
+		killed  int
 		load    float64
 		worth   float64 // of what is asked for, at least: the mean of eight days
 		refused float64 // calls for each message, at most
@@ -269,6 +322,7 @@
 		{name: "eighty at 1.1", nodes: 80, limit: steady, load: 1.1, worth: 0.68, refused: 0.15},
 		{name: "eighty, a third of the limit for 9 s", nodes: 80, limit: lowered, load: 0.8, worth: 0.74, refused: 0.17},
 		{name: "eighty, half is gone for 5 s", nodes: 80, limit: steady, down: 2, load: 0.7, worth: 0.85, refused: 0.085},
+		{name: "seventy of eighty die at once", nodes: 80, limit: steady, killed: 70, load: 0.7, worth: 0.92, refused: 0.115},
 		{name: "three at 0.9", nodes: 3, limits: []float64{5, 8, 12}, limit: steady, load: 0.9, worth: 0.85, refused: 0.085},
 		{name: "three, a third of the limit for 9 s", nodes: 3, limits: []float64{5, 8, 12}, limit: lowered, load: 0.8, worth: 0.72, refused: 0.11},
 	} {
@@ -280,7 +334,7 @@
 			const days = 8
 			var mean fleetResult
 			for seed := range uint64(days) {
-				day := fleetDay{nodes: c.nodes, length: 40 * time.Second, load: c.load, clumps: 0.12}
+				day := fleetDay{nodes: c.nodes, length: 40 * time.Second, load: c.load, clumps: 0.12, killed: c.killed}
 				for i, l := range c.limits {
 					p := &sharedPartner{limit: c.limit(l), depth: 0.4, debt: 0.6}
 					if i%2 == 1 && i < 2*c.down {
--- a/cmd/coralyard/recording.go
+++ b/cmd/coralyard/recording.go
@@ -61,6 +61,7 @@
 	Show    recordingShow    `cmd:"" help:"List the lives that a recording holds, or with --records every record, as JSON lines."`
 	Explain recordingExplain `cmd:"" help:"Tell the life of single messages, stretch by stretch."`
 	Account recordingAccount `cmd:"" help:"Sum up where messages spent their time and what that cost."`
+	Fleet   recordingFleet   `cmd:"" help:"Count over many nodes what all of them did to each destination, second by second."`
 }
 
 // recordingPath is what all three are given.
