--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -125,11 +125,19 @@
 	}
 }
 
+// errSilent ends a watch on which no line came for too long.
+var errSilent = fmt.Errorf("watch: no line for %v", watchSilence)
+
 // watchOnce follows one watch to its end. One that has gone silent is given up: its machine may be gone.
-func watchOnce(ctx context.Context, client *http.Client, addr string, after int64, tell func(list) error) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	silence := time.AfterFunc(watchSilence, cancel)
+func watchOnce(ctx context.Context, client *http.Client, addr string, after int64, tell func(list) error) (err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer func() {
+		if context.Cause(ctx) == errSilent {
+			err = errSilent
+		}
+		cancel(nil)
+	}()
+	silence := time.AfterFunc(watchSilence, func() { cancel(errSilent) })
 	defer silence.Stop()
 	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", addr, after)
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- /dev/null
+++ b/internal/node/watch_test.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// Whatever a discovery does to a watch, the next one goes on after the last list that came whole, nothing of a spoilt one is
+// told, and the log says why it ended.
+func TestWatchGoesOnAfterTheLastList(t *testing.T) {
+	t.Parallel()
+	whole := func(revision int) string { return listOf(revision, true, serving("e", "127.0.0.1:9", 7, "SERVING")) }
+	for _, c := range []struct {
+		name   string
+		spoilt func(w http.ResponseWriter, req *http.Request) // the second watch, after one that told revision 4
+		reason string
+	}{
+		{"turned away", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, "503"},
+		{"closes half way through a list", func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, whole(9)[:30])
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}, "EOF"},
+		{"tells what is no list", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, `{"revision":"nine"}`) }, "cannot unmarshal"},
+		{"accepts and is silent", func(w http.ResponseWriter, req *http.Request) { <-req.Context().Done() }, "no line for 2.5s"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var mu sync.Mutex
+			var asked []string
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+				mu.Lock()
+				asked = append(asked, req.URL.Query().Get("after"))
+				n := len(asked)
+				mu.Unlock()
+				switch n {
+				case 1:
+					fmt.Fprintln(w, whole(4))
+				case 2:
+					c.spoilt(w, req)
+				default:
+					fmt.Fprintln(w, whole(5))
+					w.(http.Flusher).Flush()
+					<-req.Context().Done()
+				}
+			}))
+			defer srv.Close()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			var text bytes.Buffer
+			var told []int64
+			watch(ctx, slog.New(slog.NewTextHandler(&text, nil)), srv.Client(), srv.Listener.Addr().String(), 2, 1, func(l list) error {
+				if told = append(told, l.Revision); l.Revision == 5 {
+					cancel()
+				}
+				return nil
+			})
+			if !slices.Equal(asked, []string{"2", "4", "4"}) || !slices.Equal(told, []int64{4, 5}) {
+				t.Errorf("asked for what comes after %v, told %v", asked, told)
+			}
+			if !strings.Contains(text.String(), c.reason) {
+				t.Errorf("the log does not say %q:\n%s", c.reason, text.String())
+			}
+		})
+	}
+}
