--- a/choice/choice.go
+++ b/choice/choice.go
@@ -653,8 +653,8 @@
 	}
 }
 
-// cut lowers this sender's part of the limit at a refusal, by its own demand. A refusal that tells of a limit which
-// has just been lowered says nothing of the part.
+// cut lowers this sender's part of the limit at a refusal, by its own demand. A refusal that tells of a limit
+// which has just been lowered says nothing of the part.
 func (s *Sender) cut(d *destination, r *route) {
 	own := 0.0
 	if limit := s.limit(r); limit > 0 {
