A store's lock is waited for 2 s: a node that came back at once kept nothing of what failed

The nodes' logs of all 200 lives: 4 began with "undelivered messages are not kept: another process has the store", though the one before had been killed and reaped; a kernel gives a killed process's locks up a little later. All missing messages are of these lives. Ruled out: eviction for room, the list's pages, the reconciliation at the start. At fault: lockTime of 100 ms in boltfile.go, of which bbolt waits for 50.

--- a/internal/boltfile/boltfile.go
+++ b/internal/boltfile/boltfile.go
@@ -19,7 +19,9 @@
 )
 
 const (
-	lockTime = 100 * time.Millisecond
+	// A process that was killed may be seen to have ended before the kernel has given up its locks. With 100 ms, of which bbolt
+	// waits for half, a node that came back at once found its own store in use, and kept nothing for all its life.
+	lockTime = 2 * time.Second
 	grow     = 64 << 10 // the file grows by so much
 )
 
