--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -25,7 +25,8 @@
 	service    = 30 * time.Millisecond // the mean
 	coldFrom   = 0.3                   // share of its capacity that a partner has when it comes back,
 	warmIn     = 11 * time.Second      // until which it has all of it
-	stands     = 1.5                   // times its present capacity, in any fallSpan, before it falls over
+	toldWait   = 700 * time.Millisecond
+	stands     = 1.5 // times its present capacity, in any fallSpan, before it falls over
 	fallSpan   = 2 * time.Second
 	spare      = 1.2 // capacity over the limit
 	reportSpan = 250 * time.Millisecond
@@ -45,6 +46,7 @@
 	Back  time.Duration                  // the end of that; it is cold from then on. 0 for none
 	Depth float64                        // seconds of the limit that may go at once,
 	Debt  float64                        // and that refused calls may use up ahead
+	Tells float64                        // share of its refusals that tell a wait
 
 	tokens   float64
 	at       time.Duration
@@ -52,6 +54,7 @@
 	next     choice.Report // what they tell from the next refreshing on
 	reported time.Duration
 	cold     []time.Duration // calls that came while it was cold
+	passed   []time.Duration
 }
 
 // Day is what is played.
@@ -70,11 +73,23 @@
 	Worth   float64 // delivered, of what was asked for
 	Refused float64 // calls refused over a limit, for each message
 	Fell    float64 // the most that a cold partner was sent, in times what it stands; it would have fallen over above 1
+	Waits   int     // calls that were sent before a wait had ended that their node was told
+}
+
+// Passed is how many calls passed at a partner in a span of the day that was played.
+func (p *Partner) Passed(from, to time.Duration) (n int) {
+	for _, at := range p.passed {
+		if at >= from && at < to {
+			n++
+		}
+	}
+	return n
 }
 
 // Play plays a day.
 func (d Day) Play(seed uint64) Result {
-	r := &run{Day: d, rng: rand.New(rand.NewPCG(seed, 80)), open: map[string]*message{}, lives: make([]int, d.Nodes)}
+	r := &run{Day: d, rng: rand.New(rand.NewPCG(seed, 80)), open: map[string]*message{}, lives: make([]int, d.Nodes),
+		waits: map[[2]int]time.Duration{}}
 	for i, p := range d.Partners {
 		r.entries = append(r.entries, choice.Entry{Endpoint: fmt.Sprint("e", i), Dest: i, Weight: p.Limit(0) * (0.8 + 0.7*r.rng.Float64())})
 		p.tokens = p.Depth * p.Limit(0)
@@ -106,7 +121,7 @@
 		}
 		e.do()
 	}
-	res := Result{Worth: r.worth / float64(r.asked), Refused: float64(r.refused) / float64(r.asked)}
+	res := Result{Worth: r.worth / float64(r.asked), Refused: float64(r.refused) / float64(r.asked), Waits: r.broken}
 	for _, p := range d.Partners {
 		res.Fell = max(res.Fell, p.fell())
 	}
@@ -140,6 +155,7 @@
 		return choice.NoRoom, p.report
 	}
 	p.tokens--
+	p.passed = append(p.passed, now)
 	return choice.Pass, p.report
 }
 
--- a/lab/model/model_test.go
+++ b/lab/model/model_test.go
@@ -54,7 +54,7 @@
 			for seed := range uint64(days) {
 				day := Day{Nodes: c.nodes, Length: 40 * time.Second, Load: c.load, Clumps: 0.12, Killed: c.killed, Slots: c.slots}
 				for i, l := range c.limits {
-					p := &Partner{Limit: c.limit(l), Depth: 0.4, Debt: 0.6}
+					p := &Partner{Limit: c.limit(l), Depth: 0.4, Debt: 0.6, Tells: 0.35}
 					if i%2 == 1 && i < 2*c.down {
 						p.Back = 15 * time.Second
 						p.Down = func(at time.Duration) bool { return at >= 10*time.Second && at < p.Back }
@@ -65,6 +65,17 @@
 				if r.Fell > 1 {
 					t.Errorf("seed %d: a cold partner was sent %.2f times what it stands", seed, r.Fell)
 				}
+				if r.Waits > 0 {
+					t.Errorf("seed %d: %d calls went out before a told wait had ended", seed, r.Waits)
+				}
+				passes, wanted := 0.0, 0.0
+				for _, p := range day.Partners { // five seconds after a limit is back, most of what is asked for passes again
+					passes += float64(p.Passed(26*time.Second, 36*time.Second))
+					wanted += p.Limit(0) * c.load * 10
+				}
+				if c.load < 1 && passes < 0.8*wanted {
+					t.Errorf("seed %d: %.2f of what is asked for passes again", seed, passes/wanted)
+				}
 				mean.Worth += r.Worth / days
 				mean.Refused += r.Refused / days
 				mean.Fell = max(mean.Fell, r.Fell)
--- a/lab/model/run.go
+++ b/lab/model/run.go
@@ -41,8 +41,10 @@
 	seq     int
 	senders []*choice.Sender
 	entries []choice.Entry
-	lives   []int               // of each node; an odd number of deaths and returns is a dead one
-	open    map[string]*message // by id, each time that it is handed in
+	lives   []int                    // of each node; an odd number of deaths and returns is a dead one
+	open    map[string]*message      // by id, each time that it is handed in
+	waits   map[[2]int]time.Duration // that a node was told by a partner, until then
+	broken  int
 	refused int
 	asked   int
 	worth   float64
@@ -92,6 +94,7 @@
 // kill has a node die and come back with what it had taken on.
 func (r *run) kill(node int) {
 	r.lives[node]++
+	maps.DeleteFunc(r.waits, func(k [2]int, _ time.Duration) bool { return k[0] == node }) // its journal has them; here they end
 	r.at(r.now+backAfter, func() {
 		r.lives[node]++
 		r.senders[node] = choice.New(r.settings(), uint64(r.seq))
@@ -127,6 +130,9 @@
 }
 
 func (r *run) call(node int, a choice.Send) {
+	if r.now < r.waits[[2]int{node, r.open[a.ID].dest}] {
+		r.broken++
+	}
 	m := r.open[a.ID]
 	attempt, began, p := m.attempts, r.now, r.Partners[m.dest]
 	m.attempts++
@@ -149,9 +155,15 @@
 			}
 			m.got = true
 		case choice.NoRoom:
-			r.refused++
+			if r.refused++; r.rng.Float64() < p.Tells {
+				end.Wait = toldWait
+			}
 		}
 		r.later(node, r.now+took, func() {
+			if end.Wait > 0 {
+				key := [2]int{node, m.dest}
+				r.waits[key] = max(r.waits[key], r.now+end.Wait)
+			}
 			if end.Took = r.now - began; end.Closed {
 				delete(r.open, a.ID)
 			} else {
