--- a/choice/choice.go
+++ b/choice/choice.go
@@ -625,7 +625,7 @@
 // giveBack closes idle connections that stand in other senders' way: an endpoint's table may be small, idle
 // ones counted, and a large fleet fills it. All go where the connection would be closed before its next use
 // anyway, and at a kind where connects failed of late; elsewhere this sender's part of the places stays. A
-// message that waits for its pace keeps none: eighty senders that wait so fill the table for those that may call.
+// message that waits for its pace keeps none: eighty senders that wait so would fill the table for others.
 func (s *Sender) giveBack(ep *endpoint) {
 	unused := s.cfg.ConnIdle > 0 && (ep.gap == 0 || ep.gap > seconds(s.cfg.ConnIdle))
 	switch {
