A node asks discovery at its start, and sends nothing before it is answered

Of 546 starts some took 4.0 s to ask: 'serving' of n180 at 6.67 s, 'watching' at 9.66 s; the list had changed at 7.64 s. Ruled out: watches that end (no such line in 273 logs), moves by SIGHUP (228, each answered within 10 ms). At fault: the spread of first calls in fleet.Asking, which agent.Watch waited for.

Change: no spread before the first call; the engine takes the source's first answer before it sends anything, and waits 250 ms at most; a first repeat comes within 3.5 s for any n, so that what a silent watch missed is heard within 6 s; a watch that told nothing does not reset the pause.

--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -23,7 +23,10 @@
 	eventQueue = 1024
 	workerIdle = time.Second
 	leastWaits = 64
-	maxAgain   = 64          // further lives at a time
+	maxAgain   = 64 // further lives at a time
+	// What the list's source has to tell binds from the start, also what changed while nobody asked. One that is at hand
+	// answers at once; one that has not after as long as a drain leaves is not waited for.
+	settleTime = 250 * time.Millisecond
 	byeTime    = time.Second // for the loop to let a waiter go; it takes longer only while the journal can't be written
 )
 
@@ -109,7 +112,7 @@
 	calls     sync.WaitGroup
 	jobs      chan func()     // to a worker that is idle
 	quit      chan struct{}   // closed when no more calls come
-	first     choice.Event    // the list that it was opened with
+	first     []choice.Event  // the list that it was opened with, and what the source told before anything was sent
 	byes      []chan struct{} // of waiters who go, and may have an end among acts
 	closed    sync.Once
 }
@@ -218,7 +221,7 @@
 	known := n.cfg.Known
 	known.Complete = true
 	first, err := n.listed(known)
-	n.first = first
+	n.first = []choice.Event{first}
 	return err
 }
 
@@ -279,12 +282,14 @@
 	if n.cfg.Recorder != nil {
 		n.cfg.Recorder.Opened(n.cfg.Settings, seed(n.cfg.Seed), n.wall(0))
 	}
-	n.step(life, n.replayed(), nil)
-
 	var parts sync.WaitGroup
 	if n.cfg.Members != nil {
 		parts.Go(func() { n.cfg.Members.Watch(life, func(l List) { n.tell(life, l) }) })
 	}
+	came := n.settle()
+	n.step(life, n.replayed(), nil)
+	n.take(life, came)
+
 	for _, f := range n.fronts {
 		if f.Sink != nil {
 			parts.Go(func() { n.report(life, f) })
@@ -321,6 +326,34 @@
 	return n.closeAll()
 }
 
+// settle waits for what the source of the list tells first, settleTime at most, so that nothing is sent by a list that had
+// grown old before the start. It returns what else came meanwhile.
+func (n *Engine) settle() (came []any) {
+	if n.cfg.Members == nil || len(n.cfg.Known.Members) == 0 {
+		return nil
+	}
+	late := time.NewTimer(settleTime)
+	defer late.Stop()
+	for {
+		select {
+		case e := <-n.events:
+			l, ok := e.(List)
+			if !ok {
+				came = append(came, e)
+				continue
+			}
+			listed, err := n.listed(l)
+			if err != nil {
+				n.log.Error("endpoints are not used", "err", err)
+			}
+			n.first = append(n.first, listed)
+			return came
+		case <-late.C:
+			return came
+		}
+	}
+}
+
 // sleep waits, or returns when the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -333,7 +366,7 @@
 
 // replayed makes the first events: the list as it was last known, and what the journal says is still owed.
 func (n *Engine) replayed() []choice.Event {
-	events := []choice.Event{n.first}
+	events := slices.Clone(n.first)
 	ended := 0
 	for _, w := range n.journal.running(time.Now()) {
 		until := n.journal.waits[w]
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
 	"starlingusher/delivery"
-	"starlingusher/fleet"
 	"starlingusher/internal/wire"
 )
 
@@ -20,7 +18,6 @@
 	names wire.Names
 	after int64 // the revision that is known at the start
 	nodes int   // that ask the same discovery
-	known bool  // there is a list to go on with
 
 	mu   sync.Mutex
 	site *site
@@ -44,7 +41,7 @@
 
 // newAgent knows a list already: that of a node's configuration.
 func newAgent(addr string, known list, nodes int, names wire.Names, log *slog.Logger) *agent {
-	return &agent{log: log, names: names, after: known.Revision, nodes: nodes, known: len(known.Members) > 0, site: newSite(addr)}
+	return &agent{log: log, names: names, after: known.Revision, nodes: nodes, site: newSite(addr)}
 }
 
 // move takes the watch and the notices to another address. Being told the same address again changes nothing.
@@ -78,14 +75,8 @@
 
 // Watch follows discovery, wherever it moves, until ctx ends. Another server is asked for all it has, so that nothing
 // is lost; while its list is older than what was told, it is not taken, or a drain could be undone.
-// Nodes that start at one instant with a list to go on with do not ask at one.
 func (a *agent) Watch(ctx context.Context, tell func(delivery.List)) {
 	newest := a.after
-	if a.known {
-		_, here, leave := a.at(ctx)
-		sleep(here, new(fleet.Asking).First(a.nodes, rand.Float64()))
-		leave()
-	}
 	for ctx.Err() == nil {
 		s, here, leave := a.at(ctx)
 		after := newest
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -114,8 +114,8 @@
 			}
 			return nil
 		})
-		if time.Since(began) > watchSilence {
-			asking.Told() // it stood
+		if !first && time.Since(began) >= watchSilence {
+			asking.Told() // it has told something, be it that nothing has changed, and stood
 		}
 		if ctx.Err() == nil {
 			pause := asking.Failed(nodes, rand.Float64())
--- a/lab/model/asking.go
+++ b/lab/model/asking.go
@@ -30,11 +30,11 @@
 
 // Herd has n senders start at one instant, and tells when the last of them was told, and how many calls the one made that
 // made most; 0 if not all were told within two minutes.
-func Herd(n int, o Source, first, failed func(a *fleet.Asking) time.Duration) (last time.Duration, most int) {
+func Herd(n int, o Source, failed func(a *fleet.Asking) time.Duration) (last time.Duration, most int) {
 	asking, calls := make([]fleet.Asking, n), make([]int, n)
 	var todo queue[happening]
 	for i := range n {
-		todo.push(happening{at: first(&asking[i]), who: i})
+		todo.push(happening{who: i})
 	}
 	for len(todo) > 0 {
 		h := todo.pop()
