A repeat is not written after its window, however long its connection took

With recordings of all 273 nodes: n182's message was called off at 9.603 s and may have run since 8.878 s, its window is 5.15 s; the repeat was decided at 13.382 s, its dial, into the zone that was cut off, came up at 14.382 s, and it was written then. Ruled out: the window's end in choice, restarts, two nodes. At fault: internal/node/calls.go asks after a dial for drains and waits alone; choice told the window to nobody.

Change: Send.BeginBy, and Attempt.MayBegin, which the carriers of HTTP, gRPC and AS2 ask before the first byte.

--- a/as2/carrier/carrier.go
+++ b/as2/carrier/carrier.go
@@ -106,7 +106,7 @@
 	if err != nil {
 		return refused(err)
 	}
-	if a.Endpoint.ClosedTo(time.Now()) || ctx.Err() != nil {
+	if !a.MayBegin(time.Now()) || ctx.Err() != nil {
 		return delivery.Result{Outcome: choice.Stale, NotRun: true}
 	}
 	w := c.wait(m.ID)
@@ -153,7 +153,7 @@
 	}
 }
 
-var errClosed = errors.New("as2: the endpoint drains, or asked for a wait")
+var errClosed = errors.New("as2: the endpoint drains or asked for a wait, or the time for a repeat is over")
 
 // call makes the HTTP call and judges its answer.
 func (c *Carrier) call(ctx context.Context, a delivery.Attempt, link Link, sealed *as2.Sealed, sent as2.Sent, w *waiter) delivery.Result {
@@ -179,7 +179,7 @@
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			d := net.Dialer{Timeout: c.o.DialTimeout}
 			nc, err := d.DialContext(ctx, network, addr)
-			if err == nil && a.Endpoint.ClosedTo(time.Now()) {
+			if err == nil && !a.MayBegin(time.Now()) {
 				nc.Close()
 				return nil, errClosed
 			}
--- a/choice/checker_test.go
+++ b/choice/checker_test.go
@@ -223,6 +223,10 @@
 		w.t.Fatalf("%v: unsafe %s sent again", w.now, a.ID)
 	case m.class.Effect == Keyed && m.touched && w.now > m.first+m.class.Window:
 		w.t.Fatalf("%v: keyed %s sent after its window", w.now, a.ID)
+	case m.class.Effect == Keyed && m.touched && (a.BeginBy < w.now || a.BeginBy >= m.first+m.class.Window):
+		w.t.Fatalf("%v: keyed %s may begin until %v, which is not within its window", w.now, a.ID, a.BeginBy)
+	case !m.touched && a.BeginBy != 0:
+		w.t.Fatalf("%v: %s, which is no repeat, has to begin by %v", w.now, a.ID, a.BeginBy)
 	case m.class.Effect == Keyed && m.touched && !m.class.GroupAll && p.Zone != m.zone:
 		w.t.Fatalf("%v: keyed %s sent outside its group", w.now, a.ID)
 	case m.out > 0 && !w.cfg.MayDuplicate:
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1167,7 +1167,11 @@
 		// What may not be repeated is lost when a kept connection turns out broken; a handshake costs less,
 		// and less than another turn for what has had one.
 		fresh := s.now < s.wornTil && (o.class.Effect == Unsafe || o.attempts > 1)
-		s.do(Send{ID: o.id, Endpoint: e.id, NotPast: s.timeout(o, e), Fresh: fresh, Joined: i > 0})
+		send := Send{ID: o.id, Endpoint: e.id, NotPast: s.timeout(o, e), Fresh: fresh, Joined: i > 0}
+		if o.touched { // and so keyed: check lets no other through
+			send.BeginBy = s.windowEnd(o)
+		}
+		s.do(send)
 	}
 	r.tokens--
 	if r.recovering() { // the others weigh little at a warm one
--- a/choice/types.go
+++ b/choice/types.go
@@ -195,11 +195,13 @@
 // Action is one decision: Send, PushBack, Fail, Cancel, Probe, HangUp, Wake, Watch or Note.
 type Action interface{ action() }
 
-// Send calls an endpoint with a message; it is abandoned at NotPast. Fresh asks for a new connection. Joined says that
-// it travels in the call of the Send before it.
+// Send calls an endpoint with a message; it is abandoned at NotPast. A repeat that is dropped as one only for a time has
+// to begin by BeginBy, 0 for any time: a connection may come up long after it was asked for. Fresh asks for a new
+// connection. Joined says that it travels in the call of the Send before it.
 type Send struct {
 	ID, Endpoint string
 	NotPast      time.Duration
+	BeginBy      time.Duration
 	Fresh        bool
 	Joined       bool
 }
--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -111,8 +111,12 @@
 		endpoint = e.ID
 	}
 	n.journal.add(attemptRecord(p.seq, now, e.zone, endpoint))
-	return leg{name, p, Attempt{ID: p.id, Key: p.key, Class: p.class, Dest: p.dest, Ref: p.ref(), Body: p.body, Endpoint: e,
-		NotPast: n.wall(a.NotPast), Fresh: a.Fresh, Number: name.n}}
+	out := Attempt{ID: p.id, Key: p.key, Class: p.class, Dest: p.dest, Ref: p.ref(), Body: p.body, Endpoint: e,
+		NotPast: n.wall(a.NotPast), Fresh: a.Fresh, Number: name.n}
+	if a.BeginBy > 0 {
+		out.BeginBy = n.wall(a.BeginBy)
+	}
+	return leg{name, p, out}
 }
 
 // begin makes a call.
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -17,6 +17,7 @@
 	Body     []byte // must not be changed
 	Endpoint *Endpoint
 	NotPast  time.Time // when it is to be abandoned
+	BeginBy  time.Time // no byte of it is written later than that, if not zero: its repeat would not be dropped as one
 	Fresh    bool      // not on a connection that was used before
 	Number   int       // among the message's attempts, from 0
 	// Times, if not nil, takes when the call did what. The carrier may write to it until the attempt returns; of a call
@@ -24,6 +25,12 @@
 	Times *Times
 }
 
+// MayBegin tells whether the first byte may be written now. It is asked again after whatever takes time before that, as a
+// dial does: the endpoint may have begun to drain or asked for a wait, and the time for a repeat may be over.
+func (a Attempt) MayBegin(now time.Time) bool {
+	return !a.Endpoint.ClosedTo(now) && (a.BeginBy.IsZero() || !now.After(a.BeginBy))
+}
+
 // Result is how an attempt ended.
 type Result struct {
 	Outcome choice.Outcome
@@ -71,8 +78,8 @@
 // Carrier makes attempts. Its methods may be called by many goroutines at a time.
 type Carrier interface {
 	// Attempt makes one attempt and returns when its slot is free again: at the answer, or when the call is given up
-	// for good. It writes at most one call, gives it up when ctx ends or at a.NotPast, and begins none to an endpoint
-	// that is closed: see Endpoint.ClosedTo.
+	// for good. It writes at most one call, gives it up when ctx ends or at a.NotPast, and begins none that may not
+	// begin any more: see Attempt.MayBegin.
 	Attempt(ctx context.Context, a Attempt) Result
 	// HangUp closes the endpoint's idle connections, all but keep that were used last. With keep 0 the endpoint may
 	// have gone for good.
--- a/grpcdelivery/carrier.go
+++ b/grpcdelivery/carrier.go
@@ -133,7 +133,7 @@
 			Outcome: choice.Stale, NotRun: true, Closed: true, Refused: true, Code: int(codes.InvalidArgument), Err: err,
 		}
 	}
-	if a.Endpoint.ClosedTo(time.Now()) || ctx.Err() != nil {
+	if !a.MayBegin(time.Now()) || ctx.Err() != nil {
 		return delivery.Result{Outcome: choice.Stale, NotRun: true}
 	}
 	ch, err := c.take(a.Endpoint, a.Fresh)
@@ -165,7 +165,7 @@
 	ans := &answer{peer: &peer.Peer{}}
 	options := append(live.options,
 		grpc.ForceCodecV2(grpcframe.Codec{}), grpc.Header(&ans.header), grpc.Trailer(&ans.trailer), grpc.Peer(ans.peer),
-		grpc.PerRPCCredentials(gate{a.Endpoint, t, live.credentials}))
+		grpc.PerRPCCredentials(gate{a, t, live.credentials}))
 	md := live.md.Copy()
 	if md == nil {
 		md = metadata.MD{}
@@ -435,20 +435,20 @@
 }
 
 // gate is asked for credentials when a stream is about to begin, also for a repeat by the library and after any wait
-// for a connection: the last moment at which a drain or a wait can hold the call back.
+// for a connection: the last moment at which a drain, a wait or a repeat that comes too late can be held back.
 type gate struct {
-	endpoint *delivery.Endpoint
-	trace    *trace
-	inner    credentials.PerRPCCredentials
+	attempt delivery.Attempt
+	trace   *trace
+	inner   credentials.PerRPCCredentials
 }
 
 func (g gate) GetRequestMetadata(ctx context.Context, uri ...string) (map[string]string, error) {
 	if !g.trace.phase.CompareAndSwap(phaseWaits, phaseBegun) && g.trace.phase.Load() == phaseExpired {
 		return nil, status.Error(codes.Unavailable, "no connection in time")
 	}
-	if g.endpoint.ClosedTo(time.Now()) {
+	if !g.attempt.MayBegin(time.Now()) {
 		g.trace.shut.Store(true)
-		return nil, status.Error(codes.Unavailable, "the endpoint drains or asked to be left alone")
+		return nil, status.Error(codes.Unavailable, "the endpoint drains or asked to be left alone, or the time for a repeat is over")
 	}
 	if g.inner == nil {
 		return nil, nil
--- a/internal/node/batches.go
+++ b/internal/node/batches.go
@@ -72,6 +72,9 @@
 		if a.NotPast.After(last.NotPast) {
 			last.NotPast = a.NotPast
 		}
+		if last.BeginBy.IsZero() || (!a.BeginBy.IsZero() && a.BeginBy.Before(last.BeginBy)) {
+			last.BeginBy = a.BeginBy
+		}
 	}
 	var states map[string]string
 	res := delivery.Result{Outcome: choice.Stale, NotRun: true}
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -40,8 +40,9 @@
 
 // pool makes calls, on connections that it keeps between them.
 type pool struct {
-	dialTimeout, idleFor time.Duration
-	maxIdle              int
+	connect func(ctx context.Context, network, addr string) (net.Conn, error)
+	idleFor time.Duration
+	maxIdle int
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by endpoint; the last one was used last
@@ -82,7 +83,7 @@
 		dialTimeout = time.Second
 	}
 	return &pool{
-		dialTimeout: dialTimeout, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
+		connect: (&net.Dialer{Timeout: dialTimeout}).DialContext, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
 		idle: map[string][]*conn{},
 	}
 }
@@ -101,7 +102,7 @@
 	x := &call{request: request, body: body, end: make(chan callEnd, 1)}
 	ctx, cancel := context.WithDeadline(ctx, c.NotPast)
 	defer cancel()
-	if c.Endpoint.ClosedTo(time.Now()) || ctx.Err() != nil {
+	if !c.MayBegin(time.Now()) || ctx.Err() != nil {
 		return delivery.Result{Outcome: choice.Stale, NotRun: true}
 	}
 	var k *conn
@@ -123,8 +124,9 @@
 		k.call = x
 		go p.read(k, c.Endpoint.ID) // ends with the connection
 	}
-	// A dial takes up to a second; a wait told or a drain heard of meanwhile forbids the first byte.
-	if c.Endpoint.ClosedTo(time.Now()) {
+	// A dial takes up to a second; a wait told, a drain heard of or a repeat's time that is over meanwhile forbids the
+	// first byte.
+	if !c.MayBegin(time.Now()) {
 		if k.leave(x) {
 			p.give(c.Endpoint, k)
 		}
@@ -170,8 +172,7 @@
 }
 
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
-	d := net.Dialer{Timeout: p.dialTimeout}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := p.connect(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
