recording trace follows a message through all nodes, lives and attempts

Change: record/trace and 'coralyard recording trace ID FOLDER...': handed in, taken on, held by what, each attempt with endpoint, outcome and times, life ends, resumed, end, notice, over all nodes by time, with damage where it stands. The stand-in discovery answers a watch at once, as the protocol has it; without that line starts waited 250 ms for it.

--- a/cmd/coralyard/recording.go
+++ b/cmd/coralyard/recording.go
@@ -62,6 +62,7 @@
 	Show    recordingShow    `cmd:"" help:"List the lives that a recording holds, or with --records every record, as JSON lines."`
 	Explain recordingExplain `cmd:"" help:"Tell the life of single messages, stretch by stretch."`
 	Account recordingAccount `cmd:"" help:"Sum up where messages spent their time and what that cost."`
+	Trace   recordingTrace   `cmd:"" help:"Follow a message through all nodes and lives: held, attempts, restarts, end, notice."`
 	Fleet   recordingFleet   `cmd:"" help:"Count over many nodes what all of them did to each destination, second by second."`
 }
 
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -390,6 +390,9 @@
 			continue
 		}
 		*n.count(p)++
+		if n.cfg.Recorder != nil {
+			n.cfg.Recorder.Handed(Handed{Name: p.name(), Front: p.front, ID: p.id, Came: n.now()})
+		}
 		events = append(events, n.resumed(p))
 	}
 	if len(n.messages) > 0 {
--- a/delivery/recorder.go
+++ b/delivery/recorder.go
@@ -13,7 +13,8 @@
 	// Opened comes first: the settings and the seed that the decisions begin with, and the wall time at which their
 	// clock shows 0.
 	Opened(s choice.Settings, seed uint64, zero time.Time)
-	// Handed is a message that was taken on, subject to what the next step says of it.
+	// Handed is a message that was taken on, subject to what the next step says of it; at the start, one that the journal
+	// has of an earlier life.
 	Handed(Handed)
 	// Turned is a message that the decisions did not hear of.
 	Turned(Turned)
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 )
@@ -71,6 +72,10 @@
 	d.mu.Lock()
 	d.watches++
 	cut := d.cut
+	if len(d.lists) == 0 { // the first line tells what has changed since, be it nothing
+		after, _ := strconv.Atoi(req.URL.Query().Get("after"))
+		fmt.Fprintf(w, "%s\n", ListOf(max(after, d.revision), false))
+	}
 	d.mu.Unlock()
 	for sent := 0; ; {
 		d.mu.Lock()
--- a/record/account/account.go
+++ b/record/account/account.go
@@ -293,7 +293,7 @@
 		a.arrived(e)
 	case choice.Resumed:
 		m := a.arrived(e.Arrived)
-		m.Attempts = e.Attempts
+		m.Attempts, m.Resumed = e.Attempts, true
 	case choice.Ended:
 		a.back(e)
 	case choice.Dropped:
