--- a/lab/model/hard_test.go
+++ b/lab/model/hard_test.go
@@ -134,6 +134,39 @@
 	}
 }
 
+// Partners are cut off again and again: keyed messages are repeated within their window or not at all, though connections
+// come up late. A node that does not know by when a repeat has to begin breaks the rule on the same days.
+func TestNoRepeatAfterACutOff(t *testing.T) {
+	day := plainDay([]float64{0.5, 0.3, 0.2}, 40, 1, Partner{Servers: 8, Queue: 8, Service: 150 * ms, Rate: 12, Endpoints: 2},
+		Partner{Servers: 8, Queue: 8, Service: 150 * ms, Rate: 12, Endpoints: 2})
+	day.Classes[0].Window = 3 * sec
+	for at := 3 * sec; at < day.Length; at += 6 * sec {
+		day.Troubles = append(day.Troubles, Trouble{Ill: CutOff, At: at, For: 3300 * ms, Partners: []int{0, 1}})
+	}
+	broken, ignorant := 0, 0
+	for seed := range uint64(12) {
+		broken += day.Play(Options{Seed: seed}).Breaches[EffectOnce.String()]
+		ignorant += day.Play(Options{Seed: seed, New: func(cfg choice.Settings, seed uint64) Decider { return hasty{choice.New(cfg, seed)} }}).Breaches[EffectOnce.String()]
+	}
+	if broken > 0 || ignorant == 0 {
+		t.Errorf("broken %d times, and %d times by nodes that do not know", broken, ignorant)
+	}
+}
+
+// hasty is a Sender that does not say by when a call has to begin.
+type hasty struct{ *choice.Sender }
+
+func (h hasty) Step(now time.Duration, events []choice.Event) []choice.Action {
+	all := h.Sender.Step(now, events)
+	for i, a := range all {
+		if s, ok := a.(choice.Send); ok {
+			s.BeginBy = 0
+			all[i] = s
+		}
+	}
+	return all
+}
+
 // broken is a Sender that decides wrongly.
 type broken struct {
 	*choice.Sender
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -142,10 +142,11 @@
 	Kill               // nodes die, and come back within Every after For, with what they had taken on
 	Leave              // nodes are told to end within a second, and come back like that
 	Stale              // discovery tells nothing
+	CutOff             // nothing gets there or back, and nobody is told: a connection that is still wanted when it ends comes up then
 )
 
 var illNames = [...]string{"down", "silent", "shut", "failing", "slow", "stalls", "tears", "worn", "spoilt", "lost", "limits", "surge", "replace",
-	"kill", "leave", "stale"}
+	"kill", "leave", "stale", "cut-off"}
 
 // String is the name that files of days use.
 func (i Ill) String() string { return illNames[i] }
--- a/lab/model/partner.go
+++ b/lab/model/partner.go
@@ -174,6 +174,9 @@
 		return choice.Ended{Outcome: choice.Cut, Kept: !c.fresh}, now, false
 	}
 	end = choice.Ended{Outcome: choice.Pass, Kept: !c.fresh}
+	if p.ill(CutOff, now) != nil { // it was on its way on an open connection
+		return end, never, false
+	}
 	if t := p.ill(Lost, now); t != nil && f.tear < t.Size {
 		return end, never, f.answer < 0.5
 	}
--- a/lab/model/rules.go
+++ b/lab/model/rules.go
@@ -198,9 +198,12 @@
 		call.ep.partner.id, sum, c.r.day.Rules.Fall, stands, knowing)
 }
 
-// over looks for what has no end at the day's.
+// over looks for what has no end at the day's. A node that is dead then owes its ends when it is back.
 func (c *checker) over() {
 	for _, n := range c.r.nodes {
+		if n.dead {
+			continue
+		}
 		for _, m := range n.sorted() {
 			c.breach(OneEnd, n.id, m, "no end")
 		}
