--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -71,6 +71,26 @@
 	return out
 }
 
+// odd tells of members that are not what the settings lead to expect. They are used all the same, as told takes them.
+func (l list) odd(names wire.Names) []string {
+	var all []string
+	for _, m := range l.Members {
+		if _, ok := phases[m.Phase]; !ok {
+			all = append(all, fmt.Sprintf("%s has the unknown phase %q, and is taken as draining", m.ID, m.Phase))
+		}
+		if m.Phase == "DELETED" {
+			continue
+		}
+		if !slices.Contains(names.Zones, m.Locality) {
+			all = append(all, fmt.Sprintf("%s is in %q, a zone that the settings do not name", m.ID, m.Locality))
+		}
+		if !slices.Contains(names.Kinds, m.Flavor) {
+			all = append(all, fmt.Sprintf("%s is of kind %q, which the settings do not name", m.ID, m.Flavor))
+		}
+	}
+	return all
+}
+
 // backoff is a pause that doubles, with half of it left to chance so that nodes don't return in step.
 type backoff time.Duration
 
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"testing"
+
+	"starlingusher/internal/wire"
 )
 
 // Whatever a discovery does to a watch, the next one goes on after the last list that came whole, nothing of a spoilt one is
@@ -72,3 +74,31 @@
 		})
 	}
 }
+
+// What a list says that the settings do not know is told in words, member by member.
+func TestOddMembers(t *testing.T) {
+	names := wire.Names{Zones: []string{"a", "b"}, Kinds: []string{"plain"}}
+	good := member{ID: "good", Locality: "b", Flavor: "plain", Phase: "SERVING"}
+	for _, c := range []struct {
+		name string
+		with func(m *member)
+		want string
+	}{
+		{"nothing", func(*member) {}, ""},
+		{"phase", func(m *member) { m.Phase = "RESTING" }, `odd has the unknown phase "RESTING", and is taken as draining`},
+		{"zone", func(m *member) { m.Locality = "c" }, `odd is in "c", a zone that the settings do not name`},
+		{"kind", func(m *member) { m.Flavor = "" }, `odd is of kind "", which the settings do not name`},
+		{"gone", func(m *member) { m.Phase, m.Locality, m.Flavor = "DELETED", "", "" }, ""},
+	} {
+		odd := good
+		odd.ID = "odd"
+		c.with(&odd)
+		l := list{Members: []member{good, odd}}
+		if got := strings.Join(l.odd(names), "; "); got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+		if got := l.told(names); len(got.Members) != 2 {
+			t.Errorf("%s: %d members are told", c.name, len(got.Members))
+		}
+	}
+}
