--- a/fleet/part_test.go
+++ b/fleet/part_test.go
@@ -11,7 +11,7 @@
 // the bound, nobody's is too small to come back, and growth keeps to its pace.
 func TestPartsOfALimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(1, 200).Draw(t, "n")
+		n := rapid.IntRange(1, 500).Draw(t, "n")
 		dead := rapid.IntRange(0, n-1).Draw(t, "dead")
 		skew := rapid.Float64Range(0, 3).Draw(t, "skew")
 		demand := rapid.Float64Range(0.1, 3).Draw(t, "demand") // of all, in times the limit
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -18,7 +18,7 @@
 // Whatever happens to a table, what its sender keeps stays in bounds, and it is tried again soon.
 func TestTableBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := rapid.IntRange(1, 200).Draw(t, "n")
+		n := rapid.IntRange(1, 500).Draw(t, "n")
 		var table Table
 		now, lastFull, begun := time.Hour, time.Duration(-1), 0.0
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
