One reader of all lives under some folders, one way to take a told list

Cause: recording trace walked folders and lives as recording fleet does, with the same error for none, and the engine's wait at its start took a list as its loop does, log line included.

Change: eachLife in cmd/coralyard and told in delivery serve both; a comment in record/trace that described something else is put right. Behaviour as before.

--- a/cmd/coralyard/fleet.go
+++ b/cmd/coralyard/fleet.go
@@ -29,20 +29,12 @@
 		return fmt.Errorf("--window: %w", err)
 	}
 	nodes := map[string]bool{}
-	for _, path := range c.Paths {
-		lives, err := record.Lives(path)
-		if err != nil {
-			return err
-		}
-		for _, l := range lives {
-			nodes[l.Node] = true
-			if err := countLife(count, l); err != nil {
-				return err
-			}
-		}
-	}
-	if len(nodes) == 0 {
-		return fmt.Errorf("%s: no recording", strings.Join(c.Paths, ", "))
+	err = eachLife(c.Paths, func(l record.Life) error {
+		nodes[l.Node] = true
+		return countLife(count, l)
+	})
+	if err != nil {
+		return err
 	}
 	var shown []together.Window
 	total := map[string]int{}
@@ -64,6 +56,27 @@
 	return tellWindows(os.Stdout, shown, c.Window)
 }
 
+// eachLife hands on the lives under the paths, those of a folder oldest first. That there are none is an error.
+func eachLife(paths []string, take func(record.Life) error) error {
+	none := true
+	for _, path := range paths {
+		lives, err := record.Lives(path)
+		if err != nil {
+			return err
+		}
+		for _, l := range lives {
+			none = false
+			if err := take(l); err != nil {
+				return err
+			}
+		}
+	}
+	if none {
+		return fmt.Errorf("%s: no recording", strings.Join(paths, ", "))
+	}
+	return nil
+}
+
 // countLife reads a life. Damage is told, and what could be read counts.
 func countLife(count *together.Count, l record.Life) error {
 	var take func(record.Record) error
--- a/cmd/coralyard/trace.go
+++ b/cmd/coralyard/trace.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"starlingusher/internal/jsonlines"
-	"starlingusher/record"
 	"starlingusher/record/trace"
 )
 
@@ -23,23 +22,11 @@
 // Run reads all lives under the paths and prints what they tell of the message.
 func (c recordingTrace) Run() error {
 	t := trace.New(strings.Split(c.ID, ",")...)
-	lives := 0
-	for _, path := range c.Paths {
-		all, err := record.Lives(path)
-		if err != nil {
-			return err
-		}
-		for _, l := range all {
-			lives++
-			if err := t.Read(l); err != nil {
-				return err
-			}
-		}
+	if err := eachLife(c.Paths, t.Read); err != nil {
+		return err
 	}
 	entries := t.Entries()
 	switch {
-	case lives == 0:
-		return fmt.Errorf("%s: no recording", strings.Join(c.Paths, ", "))
 	case len(entries) == 0:
 		return errors.New("no recording has such a message")
 	case c.JSON:
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -342,11 +342,7 @@
 				came = append(came, e)
 				continue
 			}
-			listed, err := n.listed(l)
-			if err != nil {
-				n.log.Error("endpoints are not used", "err", err)
-			}
-			n.first = append(n.first, listed)
+			n.first = append(n.first, n.told(l))
 			return came
 		case <-late.C:
 			return came
--- a/delivery/list.go
+++ b/delivery/list.go
@@ -56,6 +56,15 @@
 	return choice.Listed{Whole: l.Complete, Entries: entries}, taken
 }
 
+// told is listed for what the source tells: endpoints that another engine calls are no more than a line in the log.
+func (n *Engine) told(l List) choice.Listed {
+	listed, err := n.listed(l)
+	if err != nil {
+		n.log.Error("endpoints are not used", "err", err)
+	}
+	return listed
+}
+
 func (n *Engine) shut(e *Endpoint) {
 	if e == nil {
 		return
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -69,11 +69,7 @@
 	for _, e := range batch {
 		switch e := e.(type) {
 		case List:
-			listed, err := n.listed(e)
-			if err != nil {
-				n.log.Error("endpoints are not used", "err", err)
-			}
-			events = append(events, listed)
+			events = append(events, n.told(e))
 		case called:
 			events = append(events, n.called(e))
 		case settled:
--- a/record/trace/trace.go
+++ b/record/trace/trace.go
@@ -251,7 +251,7 @@
 	r.add(r.now, Entry{ID: f.id, What: Resumed, Detail: detail})
 }
 
-// outcomes in words; the first is of one whose message is over.
+// outcomes in words, with what each proves.
 var outcomes = map[choice.Outcome]string{
 	choice.Pass: "passed", choice.Fault: "error, may have run", choice.NoRoom: "turned away, has not run", choice.TooSlow: "timed out, may have run",
 	choice.NoRoute: "could not connect, has not run", choice.Cut: "reset, may have run", choice.Undone: "called off, may have run", choice.Stale: "not sent, has not run",
