Nodes that talk: the service, its links, the seam to the decisions, a rig of processes

Need: nodes of a fleet share nothing, so each has to be refused once to know of a debt and tries a dead endpoint by itself. Change: peers (service), peers/core (the pure machines put together), peers/link (one gRPC stream a way, protobuf, bounded), the event choice.Heard and fleet.Known as the seam, delivery.Shared, CORALYARD_PEERS with deploy/peers.yaml, `coralyard peers`. Off without the file. Found by the rig and mended: a newcomer never learned old counts (tally.Some), a stream with several lives behind it had its packets taken for late ones (link.delay is per life).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"starlingusher/fleet"
 )
 
 // New returns the decision maker of a delivery node that has just started.
@@ -18,7 +20,7 @@
 		dests: map[int]*destination{}, eps: map[string]*endpoint{}, msgs: map[string]*message{},
 		lines: map[string][]*message{}, rests: map[string]time.Duration{}, sent: map[attempt]sending{},
 		parted:  map[string]time.Duration{},
-		tenants: make([]tenant, len(cfg.Tenants)), crowded: map[int]time.Duration{},
+		tenants: make([]fleet.Quota, len(cfg.Tenants)), crowded: map[int]time.Duration{},
 	}
 	s.t.tune(nil)
 	s.rank()
@@ -42,6 +44,8 @@
 		switch e := e.(type) {
 		case Waits:
 			s.toldBefore(e)
+		case Heard:
+			s.heard(e)
 		case Arrived:
 			s.arrived(e)
 		case Resumed:
@@ -224,14 +228,7 @@
 	if i < 0 || i >= len(s.tenants) || s.cfg.Tenants[i].PerSecond <= 0 {
 		return true
 	}
-	t, rate := &s.tenants[i], s.cfg.Tenants[i].PerSecond/float64(s.cfg.Fleet)
-	t.tokens = min(t.tokens+rate*seconds(s.now-t.at), 2*rate+1)
-	t.at = s.now
-	if t.tokens < 1 {
-		return false
-	}
-	t.tokens--
-	return true
+	return s.tenants[i].Take(s.now, s.cfg.Fleet, s.cfg.Tenants[i].PerSecond)
 }
 
 // admit asks the gate, at arrival. Beside the paper's ratio stand two departures: the deadline bounds, and
@@ -619,6 +616,9 @@
 		if s.now-r.failedAt >= s.t.SickSpan || s.rate(ep.dest)*seconds(s.t.SickSpan) < s.t.RareCalls {
 			least--
 		}
+		if r.known.Out(s.now) {
+			least--
+		}
 		fails := r.fails
 		for _, mate := range ep.dest.endpoints {
 			if mate.route != r {
@@ -677,7 +677,7 @@
 	case r.sick && brief:
 		r.sick = false
 	case r.sick:
-		r.sick, r.coldFrom = false, s.now
+		r.sick, r.coldFrom = false, r.known.Since(s.now, r.struckAt)
 	case r.coldFrom > 0 && s.now-r.coldFrom > s.cfg.WarmWithin:
 		r.coldFrom = 0
 	}
@@ -720,10 +720,11 @@
 		even := s.capacity(r) / float64(s.cfg.Fleet)
 		own := r.demand / max(seconds(s.now-r.struckAt), seconds(s.cfg.Fall))
 		part := max(s.t.KnowingShare*even, s.t.DemandShare*min(own, s.capacity(r)), r.gap.Before())
+		part = r.known.Cold(s.now, part, s.t.KnowingShare*s.capacity(r))
 		return s.cfg.FallMultiple * share * part, true
 	}
 	limit := s.limit(r)
-	return r.part.Share() * limit, limit > 0
+	return r.known.Part(s.now, &r.part) * limit, limit > 0
 }
 
 // limit is what the route takes a second from all senders as far as it is told, 0 for no limit.
@@ -951,7 +952,7 @@
 			continue
 		}
 		if r.sick {
-			at = max(at, r.trialAt)
+			at = max(at, r.trialAt, r.known.SpareTil)
 		}
 		if s.refill(r); r.tokens < 1 {
 			at = max(at, s.now+span(min((1-r.tokens)/s.fastest(r), seconds(s.t.ForgetAfter))))
@@ -1088,7 +1089,7 @@
 		(!r.recovering() && !e.window.Allows(s.now, e.out)) { // the way back has a pace of its own
 		return false
 	}
-	return !r.sick || (!r.trial && s.now >= r.trialAt)
+	return !r.sick || (!r.trial && s.now >= r.trialAt && !r.known.Spared(s.now))
 }
 
 // check is the one gate before every send; no path goes round it.
--- a/choice/state.go
+++ b/choice/state.go
@@ -35,7 +35,7 @@
 	parted  map[string]time.Duration // waits told by routes apart that have left the list
 	crowded map[int]time.Duration    // connection tables of a kind seem full until then
 	wornTil time.Duration            // kept connections are not trusted until then
-	tenants []tenant
+	tenants []fleet.Quota
 	busy    int                 // calls out
 	spares  int                 // spare messages among the open
 	lent    int                 // calls out that are spare messages'
@@ -56,11 +56,6 @@
 	actions []Action
 }
 
-type tenant struct {
-	tokens float64
-	at     time.Duration
-}
-
 // keyRest is a key's rest as it was when it began; a later one may have prolonged it.
 type keyRest struct {
 	key   string
@@ -116,6 +111,7 @@
 	left      float64       // share of it left at the last report
 	weight    float64
 	part      fleet.Part // this sender's part of the limit
+	known     fleet.Known
 	tokens    float64
 	tokensAt  time.Duration
 	fails     int           // failures in a row
@@ -376,6 +372,30 @@
 	r.waitUntil, r.toldUntil = max(r.waitUntil, until), max(r.toldUntil, until)
 }
 
+// route is that of a destination's endpoints, or of one that is a route apart; nil for none that is known.
+func (s *Sender) route(dest int, endpoint string) *route {
+	if e := s.eps[endpoint]; endpoint != "" && e != nil && e.dest.id == dest {
+		return e.route
+	}
+	if d := s.dests[dest]; d != nil && endpoint == "" {
+		return d.shared
+	}
+	return nil
+}
+
+// heard notes what others of the fleet know of a route.
+func (s *Sender) heard(e Heard) {
+	r := s.route(e.Dest, e.Endpoint)
+	if r == nil {
+		return
+	}
+	r.known = e.Known
+	if r.sick {
+		r.trialAt = r.known.Trial(s.now, r.struckAt, r.trialAt, s.rng.Float64())
+	}
+	s.stir(s.dests[e.Dest])
+}
+
 // toldBefore has a wait bind that was told in an earlier life. An endpoint that is not on the list is bound as one that
 // has left it with a wait.
 func (s *Sender) toldBefore(w Waits) {
--- a/choice/types.go
+++ b/choice/types.go
@@ -1,6 +1,10 @@
 package choice
 
-import "time"
+import (
+	"time"
+
+	"starlingusher/fleet"
+)
 
 // Effect tells what a repeat of a message may do at its destination.
 type Effect uint8
@@ -110,7 +114,7 @@
 	Single     bool // a call there never holds more than one message
 }
 
-// Event is one piece of news for a sender: Listed, Waits, Arrived, Resumed, Ended, Dropped, Probed, Rang
+// Event is one piece of news for a sender: Listed, Waits, Heard, Arrived, Resumed, Ended, Dropped, Probed, Rang
 // or Leaving.
 type Event interface{ event() }
 
@@ -127,6 +131,14 @@
 	Until    time.Duration
 }
 
+// Heard is what other nodes of the fleet know of a destination, where nodes talk. Endpoint is empty unless it is a route
+// apart. What was heard before of the same is over.
+type Heard struct {
+	Dest     int
+	Endpoint string
+	Known    fleet.Known
+}
+
 // Arrived is a new message.
 type Arrived struct {
 	ID                  string
@@ -184,6 +196,7 @@
 
 func (Leaving) event() {}
 func (Listed) event()  {}
+func (Heard) event()   {}
 func (Waits) event()   {}
 func (Arrived) event() {}
 func (Resumed) event() {}
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -29,6 +29,7 @@
 	AS2         as2Command         `cmd:"" name:"as2" help:"Check the file of AS2 partners, and try a partner out."`
 	Undelivered undeliveredCommand `cmd:"" help:"Look at undelivered messages, decide on them and send them again."`
 	Recording   recordingCommand   `cmd:"" help:"Tell from a recording why messages waited, were refused or came late."`
+	Peers       peersCommand       `cmd:"" help:"Show what a running node knows of the fleet that it talks with: members, links, rights, judgements."`
 	Lab         labCommand         `cmd:"" passthrough:"" help:"The laboratory: play days of fleets, compare, search. Try: coralyard lab --help."`
 }
 
@@ -110,8 +111,18 @@
 		defer tape.Close()
 		x.Recorder = tape
 	}
+	talk, err := openPeers(cfg, log)
+	if err != nil {
+		return err
+	}
+	if talk != nil {
+		x.Shared = talk
+	}
 	d, err := daemon.OpenWith(cfg, log, x)
 	if err != nil {
+		if talk != nil {
+			talk.Close()
+		}
 		return err
 	}
 	life, end := context.WithCancel(ctx)
@@ -127,6 +138,9 @@
 	if partners != nil {
 		beside.Go(func() { partners.Run(life, d.Engine()) })
 	}
+	if talk != nil {
+		beside.Go(func() { talk.Run(life) })
+	}
 	done := make(chan struct{})
 	var reloads sync.WaitGroup
 	reloads.Go(func() { reload(log, hup, done, d, again) })
--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -66,6 +66,9 @@
 		Wait: e.Wait, NoSlot: e.NoSlot, Report: e.Report, Kept: e.Kept, HungUp: e.HungUp,
 	}
 	ominous := n.sender.Ominous(m.dest, ended)
+	if n.cfg.Shared != nil && e.first {
+		n.sight(e, m.dest, outcome, ominous)
+	}
 	switch outcome {
 	case choice.NoRoom, choice.NoRoute, choice.Stale:
 		kind := recTurnedAway
@@ -125,6 +128,10 @@
 	for _, l := range o.legs {
 		n.out[l.attempt] = outCall{l.m, cancel}
 	}
+	if n.cfg.Shared != nil {
+		to := n.waiterOf(o.endpoint, o.legs[0].m.dest)
+		n.cfg.Shared.Sent(to.dest, to.endpoint)
+	}
 	if n.cfg.Recorder != nil {
 		o.times = new(Times)
 		o.legs[0].Times = o.times
@@ -158,7 +165,7 @@
 	if !res.Heard.IsZero() {
 		took = res.Heard.Sub(began) // an answer may be spoilt from there on, and take its time
 	}
-	e := called{attempt: o.legs[i].attempt, endpoint: o.endpoint, Result: res, took: took, began: began}
+	e := called{attempt: o.legs[i].attempt, endpoint: o.endpoint, Result: res, took: took, began: began, first: i == 0}
 	if i == 0 {
 		e.times = o.times
 	}
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -47,6 +47,8 @@
 	Log        *slog.Logger // nil for none
 	// Recorder is told what the engine tells the decisions and what they answer; nil for none.
 	Recorder Recorder
+	// Shared is where nodes that talk tell each other what they see; nil where they don't talk.
+	Shared Shared
 }
 
 // Message is one piece of work as a front hands it in.
@@ -132,6 +134,7 @@
 		Result
 		took  time.Duration
 		began time.Time
+		first bool   // of the messages of its call
 		times *Times // of the first message of a call that is recorded
 	}
 	settled  []End
@@ -286,6 +289,9 @@
 	if n.cfg.Members != nil {
 		parts.Go(func() { n.cfg.Members.Watch(life, func(l List) { n.tell(life, l) }) })
 	}
+	if n.cfg.Shared != nil {
+		parts.Go(func() { n.cfg.Shared.Watch(life, func(news News) { n.tell(life, news) }) })
+	}
 	came := n.settle()
 	n.step(life, n.replayed(), nil)
 	n.take(life, came)
--- a/delivery/list.go
+++ b/delivery/list.go
@@ -21,6 +21,9 @@
 		maps.DeleteFunc(n.waits, func(dest int, _ *atomic.Int64) bool { return !n.sender.Knows(dest) })
 		n.waitsMost = max(2*len(n.waits), leastWaits)
 	}
+	if n.cfg.Shared != nil {
+		n.cfg.Shared.Listed(l)
+	}
 	entries := make([]choice.Entry, 0, len(l.Members))
 	named := map[string]bool{}
 	for _, m := range l.Members {
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -81,6 +81,8 @@
 			}
 		case choice.Leaving:
 			events = append(events, e)
+		case News:
+			events = append(events, n.heard(e)...)
 		case arrival:
 			switch p := n.accept(e, fresh); {
 			case p == nil:
@@ -88,6 +90,9 @@
 				events = append(events, n.resumed(p))
 			default:
 				events = append(events, n.arrived(p, e.Came.Add(e.Life)))
+				if n.cfg.Shared != nil {
+					n.cfg.Shared.Came(p.dest)
+				}
 			}
 		case forsaken:
 			if p := n.messages[e.ref]; p != nil {
--- /dev/null
+++ b/internal/faults/history.go
@@ -0,0 +1,211 @@
+package faults
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"starlingusher/internal/standin"
+)
+
+// what happened to a process.
+type what uint8
+
+const (
+	started what = iota
+	killed
+	paused
+	resumed
+	deaf    // it says so
+	hears   // likewise
+	crashed // it ended by itself, or said that it was about to
+	lost    // its folder was taken away or put back from an old copy; it is down
+)
+
+// change is something that happened to a process.
+type change struct {
+	at   time.Time
+	node int
+	what what
+	text string
+}
+
+// call is one that the partner saw.
+type call struct {
+	at     time.Time
+	node   int
+	number int // of the message, at its node
+}
+
+// History is what was seen in a run. It may be written by many goroutines at a time.
+type History struct {
+	o       Options
+	mu      sync.Mutex
+	calls   []call
+	changes []change
+	took    map[int][]int // numbers of messages that each node took on, in order
+	gone    map[string]bool
+}
+
+func newHistory(o Options) *History {
+	return &History{o: o, took: map[int][]int{}, gone: map[string]bool{}}
+}
+
+// called notes a call at the partner.
+func (h *History) called(c standin.Call) {
+	name, text, _ := strings.Cut(c.ID, "-")
+	node, err := strconv.Atoi(strings.TrimPrefix(name, "n"))
+	number, err2 := strconv.Atoi(text)
+	if err != nil || err2 != nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls = append(h.calls, call{c.At, node, number})
+}
+
+func (h *History) process(node int, w what, text string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changes = append(h.changes, change{time.Now(), node, w, text})
+	if w == lost { // what it held is gone with the folder
+		for _, number := range h.took[node] {
+			h.gone[fmt.Sprintf("%s-%d", nodeName(node), number)] = true
+		}
+	}
+}
+
+func (h *History) taken(node, number int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.took[node] = append(h.took[node], number)
+}
+
+// Errors of a history, one for each invariant.
+var (
+	ErrOver    = errors.New("nodes that hear each other together begin more calls than the limit")
+	ErrTwice   = errors.New("a message that must not be repeated was sent twice")
+	ErrLost    = errors.New("a message that was taken on has no end")
+	ErrCrashed = errors.New("a process ended by itself")
+	ErrApart   = errors.New("nodes that hear each other again do not agree")
+)
+
+const (
+	// A node says that it is deaf at its next tick, and hears what it may do again by the one after that.
+	saysLate = 250 * time.Millisecond
+	burst    = 0.25 // seconds of a pace that may go at once
+)
+
+// deafAt tells whether a node went by itself at a time: it had just started, or says that it was deaf.
+func deafSpans(changes []change, node int, end time.Time) (spans [][2]time.Time) {
+	var from time.Time
+	open := false
+	for _, c := range changes {
+		if c.node != node {
+			continue
+		}
+		switch c.what {
+		case started:
+			if !open {
+				from, open = c.at, true
+			}
+		case deaf:
+			if !open {
+				from, open = c.at.Add(-saysLate), true
+			}
+		case resumed: // until its first tick it does not know
+			if !open {
+				spans = append(spans, [2]time.Time{c.at, c.at.Add(saysLate)})
+			}
+		case hears:
+			if open {
+				spans, open = append(spans, [2]time.Time{from, c.at.Add(saysLate)}), false
+			}
+		}
+	}
+	if open {
+		spans = append(spans, [2]time.Time{from, end})
+	}
+	return spans
+}
+
+// Check returns what is wrong in the history.
+func (h *History) Check() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var errs []error
+	for _, c := range h.changes {
+		if c.what == crashed {
+			errs = append(errs, fmt.Errorf("%w: node %d: %s", ErrCrashed, c.node, c.text))
+		}
+	}
+	runs := map[[2]int]int{}
+	for _, c := range h.calls {
+		if key := [2]int{c.node, c.number}; c.number%classes == 2 {
+			if runs[key]++; runs[key] == 2 && !h.gone[fmt.Sprintf("%s-%d", nodeName(c.node), c.number)] {
+				errs = append(errs, fmt.Errorf("%w: payout %d of node %d", ErrTwice, c.number, c.node))
+			}
+		}
+	}
+	if !h.o.Silent {
+		errs = append(errs, h.over())
+	}
+	return errors.Join(errs...)
+}
+
+// over checks every window of some lengths: what nodes that are not deaf began in it, against the limit and the slack: a call
+// and a burst of its pace for each of them, and two for each process that was stopped between deciding and writing.
+func (h *History) over() error {
+	if len(h.calls) == 0 {
+		return nil
+	}
+	calls := slices.Clone(h.calls)
+	slices.SortStableFunc(calls, func(a, b call) int { return a.at.Compare(b.at) })
+	end := calls[len(calls)-1].at.Add(time.Second)
+	spans := make([][][2]time.Time, h.o.Nodes)
+	for i := range spans {
+		spans[i] = deafSpans(h.changes, i, end)
+	}
+	calls = slices.DeleteFunc(calls, func(c call) bool {
+		return slices.ContainsFunc(spans[c.node], func(s [2]time.Time) bool { return !c.at.Before(s[0]) && c.at.Before(s[1]) })
+	})
+	for _, window := range []time.Duration{time.Second, 3 * time.Second} {
+		slack := float64(h.o.Nodes) + burst*h.o.Limit
+		for _, c := range h.changes {
+			if c.what == resumed {
+				slack += 2 // at most once in a window for each, counted over the whole run
+			}
+		}
+		most := h.o.Limit*window.Seconds() + slack
+		first := 0
+		for i, c := range calls {
+			for c.at.Sub(calls[first].at) > window {
+				first++
+			}
+			if n := i - first + 1; float64(n) > most {
+				return fmt.Errorf("%w: %d in %v up to %s, %.0f at most; the limit is %v a second", ErrOver, n, window, c.at.Format("15:04:05.000"), most, h.o.Limit)
+			}
+		}
+	}
+	return nil
+}
+
+// Summary tells what a run consisted of.
+func (h *History) Summary() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	count := map[what]int{}
+	for _, c := range h.changes {
+		count[c.what]++
+	}
+	taken := 0
+	for _, all := range h.took {
+		taken += len(all)
+	}
+	return fmt.Sprintf("%d calls, %d messages taken on; %d starts, %d kills, %d pauses, %d folders lost, deaf %d times", len(h.calls), taken, count[started], count[killed],
+		count[paused], count[lost], count[deaf])
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	// Carriers are those of the destinations that are not called over HTTP.
 	Carriers map[int]delivery.Carrier
 	Recorder delivery.Recorder // is told what the decisions are told; nil for none
+	Shared   delivery.Shared   // where nodes that talk tell each other what they see; nil for none
 	// Further fronts share the node's engine, and with it each partner's rate, waits and slots.
 	Further []delivery.Front
 }
@@ -79,7 +80,7 @@
 	var err error
 	engine := cfg.Engine()
 	engine.Members, engine.LeaveAfter, engine.Log = n.agent, leaveAfter, log
-	engine.Keeper, engine.Recorder = x.Keeper, x.Recorder
+	engine.Keeper, engine.Recorder, engine.Shared = x.Keeper, x.Recorder, x.Shared
 	n.engine, err = delivery.Open(engine, append(x.Further, own)...)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/peers/settings.go
@@ -0,0 +1,190 @@
+package peers
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"starlingusher/internal/filefault"
+)
+
+// File is the operators' file, checked.
+type File struct {
+	Name      string            // of this node; the configuration's if empty
+	Machine   string            // that it shares with other nodes
+	Zone      string            //
+	Listen    string            // where others reach it
+	Advertise string            // as it tells them; Listen if empty
+	Seeds     []string          // addresses that are asked who is there
+	Voters    []string          // names of the nodes that grant rights; an odd number of them, the same in all files
+	Addresses map[string]string // where this node reaches others, by name, instead of at what they tell
+	Period    time.Duration     // between two probes
+	Term      time.Duration     // of a right
+	Drift     float64           // longest difference of a clock's rate from true time
+}
+
+const (
+	maxFile       = 256 << 10
+	maxNames      = 4096
+	defaultPeriod = 500 * time.Millisecond
+	defaultTerm   = 3 * time.Second
+	defaultDrift  = 0.01
+)
+
+// entry is a value with its line.
+type entry[T any] struct {
+	V    T
+	Line int
+}
+
+// UnmarshalYAML notes the line.
+func (e *entry[T]) UnmarshalYAML(n *yaml.Node) error {
+	e.Line = n.Line
+	if err := n.Decode(&e.V); err != nil {
+		return fmt.Errorf("line %d: %q is not of the kind that is expected here", n.Line, n.Value)
+	}
+	return nil
+}
+
+type fileForm struct {
+	Name      entry[string]            `yaml:"name"`
+	Machine   entry[string]            `yaml:"machine"`
+	Zone      entry[string]            `yaml:"zone"`
+	Listen    entry[string]            `yaml:"listen"`
+	Advertise entry[string]            `yaml:"advertise"`
+	Seeds     []entry[string]          `yaml:"seeds"`
+	Voters    []entry[string]          `yaml:"voters"`
+	Addresses map[string]entry[string] `yaml:"addresses"`
+	Period    entry[string]            `yaml:"period"`
+	Term      entry[string]            `yaml:"term"`
+	Drift     entry[float64]           `yaml:"drift"`
+}
+
+// Load reads a file. One with any problem is refused whole, by a *filefault.FileError with all of them.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("peers: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse is Load of a text.
+func Parse(path string, text []byte) (*File, error) {
+	var p parser
+	f := p.file(text)
+	if len(p.problems) > 0 {
+		return nil, filefault.New(path, p.problems)
+	}
+	return f, nil
+}
+
+type parser struct{ problems []filefault.Problem }
+
+func (p *parser) fail(line int, format string, args ...any) {
+	p.problems = append(p.problems, filefault.Problem{Line: max(line, 1), Text: fmt.Sprintf(format, args...)})
+}
+
+func (p *parser) file(text []byte) *File {
+	if len(text) > maxFile {
+		p.fail(1, "holds %d bytes, %d at most", len(text), maxFile)
+		return nil
+	}
+	var form fileForm
+	d := yaml.NewDecoder(strings.NewReader(string(text)))
+	d.KnownFields(true)
+	if err := d.Decode(&form); err != nil {
+		if errors.Is(err, io.EOF) {
+			p.fail(1, "is empty")
+			return nil
+		}
+		words := []string{err.Error()}
+		if t := (*yaml.TypeError)(nil); errors.As(err, &t) {
+			words = t.Errors
+		}
+		for _, w := range words {
+			problem := filefault.Words(w)
+			text, _, _ := strings.Cut(problem.Text, " in type ")
+			p.fail(problem.Line, "%s", text)
+		}
+		return nil
+	}
+	f := &File{
+		Name: p.name(form.Name, "name", true), Machine: p.name(form.Machine, "machine", true), Zone: p.name(form.Zone, "zone", true),
+		Listen: p.address(form.Listen, "listen"), Advertise: form.Advertise.V, Addresses: map[string]string{},
+		Period: p.span(form.Period, "period", defaultPeriod, 20*time.Millisecond, time.Minute),
+		Term:   p.span(form.Term, "term", defaultTerm, 100*time.Millisecond, time.Hour),
+		Drift:  defaultDrift,
+	}
+	if form.Advertise.V != "" {
+		p.address(form.Advertise, "advertise")
+	} else {
+		f.Advertise = f.Listen
+	}
+	if form.Drift.Line > 0 {
+		if f.Drift = form.Drift.V; !(f.Drift >= 0 && f.Drift <= 0.5) {
+			p.fail(form.Drift.Line, "drift %v: a share between 0 and 0.5", f.Drift)
+		}
+	}
+	for _, s := range form.Seeds {
+		f.Seeds = append(f.Seeds, p.address(s, "seeds"))
+	}
+	for _, v := range form.Voters {
+		name := p.name(v, "voters", false)
+		if slices.Contains(f.Voters, name) {
+			p.fail(v.Line, "voter %q stands twice", name)
+		}
+		f.Voters = append(f.Voters, name)
+	}
+	switch {
+	case len(f.Voters) == 0:
+		p.fail(1, "voters are missing: the names of 3 or 5 nodes, the same in the files of all")
+	case len(f.Voters)%2 == 0:
+		p.fail(form.Voters[0].Line, "%d voters: an odd number of them", len(f.Voters))
+	}
+	if len(f.Seeds) > maxNames || len(f.Voters) > 9 || len(form.Addresses) > maxNames {
+		p.fail(1, "%d seeds, %d voters, %d addresses: %d, 9 and %d at most", len(f.Seeds), len(f.Voters), len(form.Addresses), maxNames, maxNames)
+	}
+	for name, a := range form.Addresses {
+		f.Addresses[name] = p.address(a, "addresses")
+	}
+	return f
+}
+
+func (p *parser) name(v entry[string], what string, mayLack bool) string {
+	bad := strings.ContainsFunc(v.V, func(r rune) bool { return r <= ' ' || r > '~' })
+	if v.V == "" && mayLack {
+		return ""
+	}
+	if v.V == "" || len(v.V) > 64 || bad {
+		p.fail(v.Line, "%s %q: 1 to 64 visible ASCII characters", what, v.V)
+	}
+	return v.V
+}
+
+func (p *parser) address(v entry[string], what string) string {
+	if v.V == "" {
+		p.fail(v.Line, "%s is missing", what)
+	} else if host, port, err := net.SplitHostPort(v.V); err != nil || host == "" || port == "" {
+		p.fail(v.Line, "%s %q: a host and a port, as 10.0.0.4:7400", what, v.V)
+	}
+	return v.V
+}
+
+func (p *parser) span(v entry[string], what string, usual, least, most time.Duration) time.Duration {
+	if v.V == "" {
+		return usual
+	}
+	d, err := time.ParseDuration(v.V)
+	if err != nil || d < least || d > most {
+		p.fail(v.Line, "%s %q: a time from %v to %v", what, v.V, least, most)
+	}
+	return d
+}
--- a/peers/tally/tally.go
+++ b/peers/tally/tally.go
@@ -72,7 +72,7 @@
 const (
 	mostMembers = 1024
 	// MostKeys are counted of one life; what comes beyond is not counted, and Skipped says so.
-	MostKeys = 4096
+	MostKeys = 1024
 	tellings = 4 // messages that carry a piece of news on
 )
 
@@ -98,6 +98,7 @@
 	past    map[Key]Counts    // of lives that were let go
 	dropped map[Life]bool     // these
 	skipped uint64
+	cursor  Life // of Some
 }
 
 // New is a tally of a life that begins now.
@@ -242,6 +243,30 @@
 	return out
 }
 
+// Some is a part of all that is known, news or not, at most so many keys: the next part at each call. Told on and on, it
+// has all nodes know the same, also those that were not there when it was news.
+func (t *Tally) Some(now time.Duration, most int) []Report {
+	t.all[t.self].at = now
+	lives := slices.SortedFunc(maps.Keys(t.all), compare)
+	start, _ := slices.BinarySearchFunc(lives, t.cursor, compare)
+	var out []Report
+	for i := range lives {
+		l := lives[(start+i)%len(lives)]
+		s := t.all[l]
+		if len(s.counts) > most && len(out) > 0 {
+			t.cursor = l
+			break
+		}
+		out = append(out, Report{Life: l, Age: now - s.at, Pace: s.pace, Counts: maps.Clone(s.counts)})
+		most -= len(s.counts) + 1
+		if most <= 0 {
+			t.cursor = lives[(start+i+1)%len(lives)]
+			break
+		}
+	}
+	return out
+}
+
 // Sum is a count of a key over the fleet, as this node knows it now.
 func (t *Tally) Sum(now time.Duration, key Key, what What) Between {
 	b := Between{Low: t.past[key][what]}
--- a/peers/verdict/verdict.go
+++ b/peers/verdict/verdict.go
@@ -21,6 +21,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -63,13 +65,15 @@
 }
 
 const (
-	agreeing   = 2 // observers
-	outCalls   = 2 // failures in a row
-	beliefSpan = 3 * time.Second
-	debtSpan   = time.Second
-	debtRest   = 4 * time.Second
-	againAfter = 500 * time.Millisecond // the same is told again if it is still so
-	tellings   = 3
+	agreeing = 2 // observers
+	// With so many that say the same, only some go on saying it.
+	mostAgreeing = 6
+	outCalls     = 2 // failures in a row
+	beliefSpan   = 3 * time.Second
+	debtSpan     = time.Second
+	debtRest     = 4 * time.Second
+	againAfter   = 500 * time.Millisecond // the same is told again if it is still so
+	tellings     = 3
 	// MostKeys and mostEach bound the state: keys, and observers of each.
 	MostKeys = 4096
 	mostEach = 64
@@ -164,14 +168,16 @@
 	}
 	p.own.fails++
 	p.own.sight = now
-	if p.own.fails >= outCalls {
+	// Once enough others say so it is only for those who try to say it again, or a whole fleet would.
+	if p.own.fails >= outCalls && (b.others(now, p, Out, p.own.passedAt) < mostAgreeing || b.spared(now, key, p) == 0) {
 		b.say(now, key, p, Out, now-p.own.failedAt, p.own.fails)
 	}
 }
 
 // Refused notes a refusal over the limit.
 func (b *Book) Refused(now time.Duration, key Key) {
-	if p := b.place(now, key); p != nil {
+	// Who knows it by others has nothing to add.
+	if p := b.place(now, key); p != nil && b.Find(now, key).Debt <= now {
 		b.say(now, key, p, Debt, 0, 1)
 	}
 }
@@ -262,9 +268,20 @@
 	By    int           // observers that say so
 	Back  time.Duration // since when others have had calls pass, if anybody has after it was out; 0 for nobody
 	Debt  time.Duration // the limit is in debt until then; 0 if it is not known to be
+	Spare time.Duration // until then others try whether it is back, and this node need not; 0 if it has to
 	Until time.Duration // for how long all this holds if nothing more is heard
 }
 
+// triers is how many of those that see an endpoint fail go on trying it.
+const triers = 2
+
+// rank is an observer's place in the order in which those that see a key fail try it: another one for each key.
+func rank(key Key, o Observer) uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d\x00%s\x00%s\x00%d", key.Dest, key.Endpoint, o.Name, o.Life)
+	return h.Sum64()
+}
+
 // Find tells what is known of a key.
 func (b *Book) Find(now time.Duration, key Key) Finding {
 	p := b.all[key]
@@ -298,9 +315,29 @@
 		}
 	}
 	f.Until = max(f.Until, f.Debt)
+	if f.Back == 0 && p.own.fails >= outCalls {
+		f.Spare = b.spared(now, key, p)
+	}
 	return f
 }
 
+// spared is until when trials may be left to those who come before this node: triers of them, as long as their last failures
+// are believed. Who stops trying, or is not heard any more, is not counted on for longer.
+func (b *Book) spared(now time.Duration, key Key, p *place) time.Duration {
+	own := rank(key, b.self)
+	var until []time.Duration
+	for o, of := range p.others {
+		if h, ok := of[Out]; ok && believed(now, h, p.own.passedAt) && rank(key, o) < own {
+			until = append(until, h.seenAt+beliefSpan)
+		}
+	}
+	if len(until) < triers {
+		return 0
+	}
+	slices.Sort(until)
+	return until[len(until)-triers]
+}
+
 // failedLast is when this node last saw a failure that no pass of its own came after.
 func (o own) failedLast() time.Duration {
 	if o.fails == 0 {
--- a/peers/verdict/verdict_test.go
+++ b/peers/verdict/verdict_test.go
@@ -163,7 +163,7 @@
 		{Name: "own evidence is overruled", File: file, Old: "return now-h.seenAt < beliefSpan && h.seenAt > after", New: "return now-h.seenAt < beliefSpan"},
 		{Name: "an old judgement is revived by its way", File: file, Old: "seenAt := now - e.Age\n", New: "seenAt := now\n"},
 		{Name: "a judgement outlives a restart of the endpoint", File: file, Old: "\t\tclear(p.others)\n", New: ""},
-		{Name: "one observer is enough", File: file, Old: "agreeing   = 2", New: "agreeing   = 1"},
+		{Name: "one observer is enough", File: file, Old: "agreeing = 2 // observers", New: "agreeing = 1 // observers"},
 		{Name: "a liar slows others down for ever", File: file, Old: "now-from >= debtSpan+debtRest || b.debtors", New: "now-from >= debtSpan || b.debtors"},
 		{Name: "repeats of old words count", File: file, Old: "ok && old.Seq >= e.Seq", New: "ok && old.Seq > e.Seq+1"},
 	})
--- a/record/record.go
+++ b/record/record.go
@@ -72,6 +72,7 @@
 	Probed  *choice.Probed  `cbor:"7,keyasint,omitempty"`
 	Rang    *choice.Rang    `cbor:"8,keyasint,omitempty"`
 	Leaving *choice.Leaving `cbor:"9,keyasint,omitempty"`
+	Heard   *choice.Heard   `cbor:"10,keyasint,omitempty"`
 }
 
 // Action is one of choice's; one of its fields is set.
@@ -113,6 +114,8 @@
 		return Event{Rang: &e}
 	case choice.Leaving:
 		return Event{Leaving: &e}
+	case choice.Heard:
+		return Event{Heard: &e}
 	}
 	return Event{}
 }
@@ -138,6 +141,8 @@
 		return *e.Rang, nil
 	case e.Leaving != nil:
 		return *e.Leaving, nil
+	case e.Heard != nil:
+		return *e.Heard, nil
 	}
 	return nil, fmt.Errorf("event: %w", ErrUnknownItem)
 }
