--- a/cmd/lab/lab.go
+++ b/cmd/lab/lab.go
@@ -34,6 +34,7 @@
 	Compare     labCompare     `cmd:"" help:"Play a day in two ways on the same seeds, and tell a gain from noise."`
 	Search      labSearch      `cmd:"" help:"Look for troubles that break a rule, or that service does not recover from."`
 	Sensitivity labSensitivity `cmd:"" help:"Vary each tuned value of the decisions over its range, and rank them by what they do."`
+	Talk        labTalk        `cmd:"" help:"Play a day with nodes that talk with each other, some of them deaf, beside such that do not and an all-knowing fleet."`
 	Load        labLoad        `cmd:"" help:"Hand messages in to a node over sockets, by a schedule that waits for nobody."`
 	Sockets     labSockets     `cmd:"" help:"Play a day with daemons over sockets, and beside it in the emulator."`
 	Report      labReport      `cmd:"" help:"Draw a day as an HTML page, played in one way or two."`
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -10,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"starlingusher/internal/planted"
 )
 
 // program is built once for all tests.
@@ -88,6 +91,55 @@
 	t.Logf("%d rounds", len(healed))
 }
 
+// The rig can fail: each planted fault is found by some round. It takes minutes, and runs where CORALYARD_PLANTED is set, to the
+// most rounds that are played for each.
+func TestPlantedFaultsAreFoundByRounds(t *testing.T) {
+	most := number("CORALYARD_PLANTED", 0)
+	if most == 0 {
+		t.Skip("CORALYARD_PLANTED is not set")
+	}
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const length = 5 * time.Second
+	for _, f := range []struct {
+		planted.Fault
+		by error
+	}{
+		{planted.Fault{Name: "a lease has no end", File: "peers/budget/seat.go", Old: "\t\treturn t.until\n", New: "\t\treturn t.until + time.Hour\n"}, ErrOver},
+		{planted.Fault{Name: "a deaf node goes on with what it borrowed and holds", File: "fleet/known.go", Old: "return now < k.ShareTil", New: "return k.ShareTil > 0"}, ErrOver},
+		{planted.Fault{Name: "nothing is refuted", File: "peers/member/member.go", Old: "same := r.Life", New: "same := r.State != Alive || r.Life"}, ErrApart},
+		{planted.Fault{Name: "newcomers are not told old counts", File: "peers/tally/tally.go", Old: "if len(s.counts) > most && len(out) > 0 {", New: "if l != t.self {"}, ErrApart},
+		{planted.Fault{Name: "a payout is sent again after a restart", File: "choice/choice.go", Old: "if (m.touched && m.class.Effect == Unsafe) || late", New: "m.touched = m.touched && m.class.Effect != Unsafe\n\tif late"}, ErrTwice},
+		{planted.Fault{Name: "the journal is not written", File: "delivery/journal.go", Old: "func (j *journal) flush() error {\n", New: "func (j *journal) flush() error {\n\tj.pending = j.pending[:0]\n"}, ErrLost},
+	} {
+		t.Run(f.Name, func(t *testing.T) {
+			folder := t.TempDir()
+			overlay, err := f.Overlay(root, folder)
+			if err != nil {
+				t.Fatal(err)
+			}
+			faulty := filepath.Join(folder, "coralyard")
+			if out, err := exec.Command("go", "build", "-overlay", overlay, "-o", faulty, "starlingusher/cmd/coralyard").CombinedOutput(); err != nil {
+				t.Fatalf("%s: %v", out, err)
+			}
+			for round := range most {
+				o := options(t, uint64(100+round))
+				o.Program, o.Patience = faulty, 15*time.Second
+				if _, _, err := Round(t.Context(), o, Draw(o.Seed, o.Nodes, length), length); err != nil {
+					if !errors.Is(err, f.by) {
+						t.Errorf("found by another invariant: %v", err)
+					}
+					t.Logf("found in round %d: %.300v", round+1, err)
+					return
+				}
+			}
+			t.Errorf("not found in %d rounds", most)
+		})
+	}
+}
+
 // A calm fleet agrees, and goes by its rights.
 func TestCalm(t *testing.T) {
 	h, _, err := Round(context.Background(), options(t, 3), nil, 0)
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -34,11 +34,12 @@
 	Period  time.Duration // of the members' probes,
 	Term    time.Duration // and of a right
 	Silent  bool          // the nodes do not talk
+	// Patience is for how long what must come to pass is waited for; a minute if not given.
+	Patience time.Duration
 }
 
 const (
 	deadline = 3 * time.Second // of messages
-	patience = 60 * time.Second
 	classes  = 3
 )
 
@@ -93,6 +94,9 @@
 
 // Start starts the fleet; Close ends it.
 func Start(ctx context.Context, o Options) (*Fleet, error) {
+	if o.Patience == 0 {
+		o.Patience = time.Minute
+	}
 	f := &Fleet{o: o, history: newHistory(o), ends: load.NewEnds(), begun: time.Now()}
 	if err := f.start(ctx); err != nil {
 		f.Close()
@@ -222,7 +226,7 @@
 			f.history.process(n.i, crashed, fmt.Sprint(err))
 		}
 	}()
-	late := time.After(patience)
+	late := time.After(f.o.Patience)
 	for {
 		clients, err := load.Dial(n.listen, 2)
 		if err == nil {
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -245,7 +245,7 @@
 // It tells how long that took.
 func (f *Fleet) Agree(ctx context.Context) (time.Duration, error) {
 	begun := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	ctx, cancel := context.WithTimeout(ctx, f.o.Patience)
 	defer cancel()
 	for {
 		why := f.apart(ctx)
@@ -255,7 +255,7 @@
 		select {
 		case <-time.After(50 * time.Millisecond):
 		case <-ctx.Done():
-			return 0, fmt.Errorf("%w after %v: %s", ErrApart, patience, why)
+			return 0, fmt.Errorf("%w after %v: %s", ErrApart, f.o.Patience, why)
 		}
 	}
 }
@@ -300,7 +300,7 @@
 
 // Ends waits until every message that was taken on has its end, but for those that went with a folder.
 func (f *Fleet) Ends(ctx context.Context) error {
-	late := time.Now().Add(deadline + patience)
+	late := time.Now().Add(deadline + f.o.Patience)
 	for {
 		for _, n := range f.discovery.Notices() {
 			f.ends.Told(n.ID, n.State)
--- a/internal/planted/planted.go
+++ b/internal/planted/planted.go
@@ -41,14 +41,14 @@
 	return path, os.WriteFile(path, overlay, 0o600)
 }
 
-// Found runs the tests of a package that match a pattern, with the fault planted. It returns which of them failed, none if
+// Found runs the tests of a package, which uses rapid, that match a pattern, with the fault planted. It returns which of them failed, none if
 // the fault was not found. What is no verdict, as source that does not build, is an error.
 func Found(ctx context.Context, root, folder, pkg, pattern string, f Fault) ([]string, error) {
 	overlay, err := f.Overlay(root, folder)
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.CommandContext(ctx, "go", "test", "-count=1", "-failfast", "-overlay", overlay, "-run", pattern, pkg)
+	cmd := exec.CommandContext(ctx, "go", "test", "-count=1", "-failfast", "-overlay", overlay, "-run", pattern, pkg, "-rapid.shrinktime=1s")
 	cmd.Dir = root
 	out, err := cmd.CombinedOutput()
 	var failed *exec.ExitError
--- a/lab/experiment/paired.go
+++ b/lab/experiment/paired.go
@@ -80,6 +80,11 @@
 	for i, o := range all {
 		x[i] = o.Measures[measure]
 	}
+	return Interval(x)
+}
+
+// Interval is the mean of values, as of differences by seed, and half of its interval at 95%; NaN for that of a single one.
+func Interval(x []float64) (m, half float64) {
 	if len(x) < 2 {
 		return mean(x), math.NaN()
 	}
--- a/lab/model/call.go
+++ b/lab/model/call.go
@@ -101,6 +101,9 @@
 	n.out++
 	r.calls++
 	r.rules.sends(n, c)
+	if r.options.Beside != nil {
+		r.options.Beside.Sent(n.id, e.partner.id)
+	}
 	cs := n.conn(e)
 	cs.expire(r, e)
 	cs.out++
@@ -222,6 +225,7 @@
 		p.saw[n.id] = true
 	}
 	events := make([]choice.Event, 0, len(c.parts))
+	sign := false
 	for _, p := range c.parts {
 		m, one := p.m, end
 		one.ID, one.Attempt, one.Endpoint, one.Took = m.name, p.attempt, e.id, r.now-c.began
@@ -248,10 +252,12 @@
 			}
 		}
 		if o, ok := n.decide.(ominous); ok {
-			m.failed = m.failed || o.Ominous(e.partner.id, one)
+			bad := o.Ominous(e.partner.id, one)
+			m.failed, sign = m.failed || bad, sign || bad
 		}
 		events = append(events, one)
 	}
+	r.beside(c, end, sign)
 	r.step(n, events...)
 }
 
--- a/lab/model/model.go
+++ b/lab/model/model.go
@@ -197,6 +197,8 @@
 	// Holds has the day tell where messages spent their time (Result.Held), at the cost of a look at all of them ten times a
 	// second.
 	Holds bool
+	// Beside stands beside the decisions; nil for nothing.
+	Beside Beside
 	// Trace, if given, is told each step that a message takes.
 	Trace func(Step)
 }
--- a/lab/model/run.go
+++ b/lab/model/run.go
@@ -241,6 +241,9 @@
 	for _, t := range r.day.Troubles {
 		r.trouble(t)
 	}
+	if b := r.options.Beside; b != nil {
+		b.Begin(World{r})
+	}
 	for _, n := range r.nodes {
 		r.start(n, nil)
 	}
@@ -470,6 +473,9 @@
 		events = append(events, choice.Resumed{Arrived: m.arrived(), Attempts: m.attempts, Touched: m.touched, MayRun: m.mayRun, Failed: m.failed})
 	}
 	r.step(n, events...)
+	if r.options.Beside != nil {
+		r.options.Beside.Began(n.id)
+	}
 }
 
 // added tells that an endpoint came after the day had begun.
@@ -490,6 +496,9 @@
 		e.held -= c.open()
 	}
 	n.conns = nil
+	if r.options.Beside != nil {
+		r.options.Beside.Died(n.id)
+	}
 	for _, m := range n.held {
 		if m.out > 0 && !m.touched {
 			m.touched, m.mayRun = true, m.sentAt
@@ -618,6 +627,9 @@
 	r.trace(m, "handed in", "")
 	r.rules.accepted(m)
 	r.step(n, m.arrived())
+	if r.options.Beside != nil {
+		r.options.Beside.Came(n.id, p.id)
+	}
 }
 
 func (m *message) arrived() choice.Arrived {
--- a/peers/budget/budget.go
+++ b/peers/budget/budget.go
@@ -54,7 +54,8 @@
 const (
 	floorPart = 4       // a node's floor is this part of its even one
 	headroom  = 1.25    // a node keeps, or asks for, so many times what it wants
-	askMost   = 3       // lenders that are asked at a time
+	askLeast  = 3       // lenders that are asked at a time, if there are so many,
+	askMost   = 16      // and more of them the more is lacking: each is counted on for half a seat
 	lead      = 0.25    // of Term: a loan that ends sooner is replaced
 	askEvery  = 0.1     // of Term: the pause between two rounds
 	minLoan   = 64      // units; less is not worth a message
@@ -373,7 +374,11 @@
 		return nil
 	}
 	slices.SortFunc(asks, func(a, b Amount) int { return compareKeys(a.Key, b.Key) })
-	some := min(askMost, len(n.alive))
+	most := int64(0)
+	for _, a := range asks {
+		most = max(most, a.Units)
+	}
+	some := min(max(askLeast, int(2*most/max(n.cfg.seat(), 1))), askMost, len(n.alive))
 	out := make([]Out, 0, some)
 	for i := range some {
 		to := n.alive[(n.turn+i+int(n.life%uint64(len(n.alive))))%len(n.alive)]
--- a/peers/core/core.go
+++ b/peers/core/core.go
@@ -69,7 +69,7 @@
 	spreadTo     = 3                      // members at a time
 	mostEvidence = 64                     // in a packet
 	mostCounts   = 256                    // keys in a packet
-	demandSpan   = 5 * time.Second        // over which arrivals are smoothed
+	demandSpan   = 2 * time.Second        // over which arrivals are smoothed
 	// Of a limit the rights are made, and a little is left: a fleet that sends at the very limit never gets out of a debt.
 	used = 0.95
 )
--- a/peers/member/member_test.go
+++ b/peers/member/member_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"starlingusher/internal/planted"
 	"starlingusher/internal/rapidseed"
 )
 
@@ -228,6 +229,19 @@
 	}
 }
 
+// What a node asked before it was stopped is not held against those who could not answer it.
+func TestStoppedNodeSuspectsNobody(t *testing.T) {
+	n := New(Settings{Self: Record{Name: "a", Life: 1}, Period: period}, 1, 0)
+	n.Take(0, "b", Message{Kind: SyncBack, Records: []Record{{Name: "b", Life: 2, Incarnation: 1, Addr: "b"}}})
+	for at := time.Duration(0); len(n.probes) == 0; at += period / 4 {
+		n.Tick(at)
+	}
+	n.Tick(30 * period)
+	if b, _ := n.Lookup("b"); b.State != Alive {
+		t.Errorf("b is thought %v", b.State)
+	}
+}
+
 // Two processes of one name are told so, and end the contest.
 func TestTwoProcessesOfOneName(t *testing.T) {
 	f := newFleet(5, 3)
@@ -243,6 +257,17 @@
 	}
 }
 
+func TestPlantedFaultsAreFound(t *testing.T) {
+	file := "peers/member/member.go"
+	planted.Check(t, "../..", "./peers/member", "^(TestViewsAgreeAfterHealing|TestStoppedProcessAndNewLife|TestStoppedNodeSuspectsNobody|TestTwoProcessesOfOneName)$", []planted.Fault{
+		{Name: "a new life repeats the old incarnation", File: file, Old: "n.self.Incarnation, n.toTell = r.Incarnation+1, n.tellings()", New: "n.self.Incarnation, n.toTell = r.Incarnation, n.tellings()"},
+		{Name: "nothing is refuted", File: file, Old: "same := r.Life", New: "same := r.State != Alive || r.Life"},
+		{Name: "a stopped process suspects others", File: file, Old: "\t\tclear(n.probes)\n", New: ""},
+		{Name: "the dead are not asked", File: file, Old: "n.others[name].State == Left })\n\tif", New: "n.others[name].State > Suspect })\n\tif"},
+		{Name: "two processes go on for ever", File: file, Old: "\t\tn.bumps++\n", New: ""},
+	})
+}
+
 func BenchmarkTick(b *testing.B) {
 	for _, n := range []int{8, 80, 300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
