--- a/choice/explain.go
+++ b/choice/explain.go
@@ -14,6 +14,7 @@
 	HoldKey                  // its key's turn, or its key's rest
 	HoldRetry                // its own rest after a failure
 	HoldPace                 // the partner's limit, as far as this sender's part of it goes
+	HoldDeaf                 // likewise, by the part that it may have alone since it hears no other node any more
 	HoldReturn               // the pace of the way back from an outage
 	HoldRest                 // the rest after a refusal that told no wait
 	HoldTold                 // a wait that the partner asked for
@@ -27,7 +28,7 @@
 )
 
 var holdNames = [Holds]string{
-	"turn", "slot", "slow", "key", "retry", "pace", "return", "rest", "told", "table", "window", "trial", "unsure", "leaving", "endpoint",
+	"turn", "slot", "slow", "key", "retry", "pace", "deaf", "return", "rest", "told", "table", "window", "trial", "unsure", "leaving", "endpoint",
 }
 
 func (h Hold) String() string {
@@ -83,7 +84,7 @@
 		return HoldEndpoint
 	case s.leaveBy > 0 && s.now+s.leaveSpan(m, e) > s.leaveBy:
 		return HoldLeaving
-	case r.sick && (r.trial || s.now < r.trialAt):
+	case r.sick && (r.trial || s.now < r.trialAt || r.known.Spared(s.now)):
 		return HoldTrial
 	case s.now < r.toldUntil:
 		return HoldTold
@@ -98,6 +99,8 @@
 		return HoldUnsure
 	case s.tokensAt(r) < 1 && r.recovering():
 		return HoldReturn
+	case s.tokensAt(r) < 1 && r.known.Deaf(s.now):
+		return HoldDeaf
 	case s.tokensAt(r) < 1:
 		return HoldPace
 	case s.now < m.notBefore:
@@ -140,6 +143,7 @@
 	Usual         float64 // of passed calls at the endpoint
 	Limit         float64 // of all senders; 0 for none
 	Part          float64 // of it that is this sender's
+	Shared, Deaf  bool    // a right that the other nodes know of; it had one and hears nobody any more
 	Pace          float64 // at which it may send; 0 for no bound
 	Tokens        float64 // calls that may go at once
 	Window        float64 // calls that may be out at the endpoint; 0 for any number
@@ -165,7 +169,7 @@
 		}
 		v := View{
 			Endpoint: e.id, Waiting: len(d.waiting), Out: len(d.calls), GateShut: d.gate.shut, Average: d.gate.average,
-			Usual: e.usual, Limit: s.limit(r), Part: r.part.Share(), Tokens: s.tokensAt(r), Window: e.window.Size(s.now), Fails: r.fails,
+			Usual: e.usual, Limit: s.limit(r), Part: r.known.Part(s.now, &r.part), Shared: r.known.Shared(s.now), Deaf: r.known.Deaf(s.now), Tokens: s.tokensAt(r), Window: e.window.Size(s.now), Fails: r.fails,
 			Sick: r.sick, Returning: !r.sick && r.coldFrom > 0, WaitsUntil: r.waitUntil, TurnedAwayFor: e.window.TurnedAway(s.now),
 		}
 		if rate, bound := s.pace(r); bound {
--- a/fleet/known.go
+++ b/fleet/known.go
@@ -27,6 +27,9 @@
 // Shared tells that the sender holds a right now.
 func (k *Known) Shared(now time.Duration) bool { return now < k.ShareTil }
 
+// Deaf tells that the sender held a right and holds none: it hears nobody any more.
+func (k *Known) Deaf(now time.Duration) bool { return k.ShareTil > 0 && now >= k.ShareTil }
+
 // Shift is the same on a clock that shows by more.
 func (k Known) Shift(by time.Duration) Known {
 	for _, t := range []*time.Duration{&k.ShareTil, &k.DebtTil, &k.OutTil, &k.SpareTil, &k.BackFrom} {
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -34,6 +34,9 @@
 	Period  time.Duration // of the members' probes,
 	Term    time.Duration // and of a right
 	Silent  bool          // the nodes do not talk
+	Heavy   float64       // times the others' messages come to the first node; 0 for as many
+	// Answer is what the partner does with a call; nil to answer all well. What it answers well is delivered.
+	Answer func(standin.Call) standin.Step
 	// Patience is for how long what must come to pass is waited for; a minute if not given.
 	Patience time.Duration
 }
@@ -55,6 +58,7 @@
 	nodes     []*node
 	ways      [][]*way // from, to
 	begun     time.Time
+	handed    func(id string) // is told of each message that clients hand in; nil for nobody
 }
 
 // node is a place in the fleet: a folder and addresses, and the process that has them now.
@@ -111,8 +115,14 @@
 	}
 	f.partner, err = standin.NewHTTP(func(c standin.Call) standin.Step {
 		f.history.called(c)
-		f.ends.Delivered(c.ID)
-		return standin.Step{Delay: 2 * time.Millisecond, Load: map[string]float64{"x0": 0.5, "x1": f.o.Limit}}
+		step := standin.Step{Delay: 2 * time.Millisecond, Load: map[string]float64{"x0": 0.5, "x1": f.o.Limit}}
+		if f.o.Answer != nil {
+			step = f.o.Answer(c)
+		}
+		if step.Fault == standin.None {
+			f.ends.Delivered(c.ID)
+		}
+		return step
 	}, nil)
 	if err != nil {
 		return err
@@ -304,7 +314,11 @@
 	var all sync.WaitGroup
 	for _, n := range f.nodes {
 		all.Go(func() {
-			pause := time.NewTicker(time.Duration(float64(time.Second) / f.o.Rate))
+			rate := f.o.Rate
+			if n.i == 0 && f.o.Heavy > 0 {
+				rate *= f.o.Heavy
+			}
+			pause := time.NewTicker(time.Duration(float64(time.Second) / rate))
 			defer pause.Stop()
 			for {
 				select {
@@ -322,9 +336,17 @@
 func (f *Fleet) hand(n *node) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.clients == nil || n.stopped {
+	if n.cmd == nil || n.stopped {
 		return
 	}
+	if n.clients == nil { // the node closes connections that are idle
+		var err error
+		if n.clients, err = load.Dial(n.listen, 2); err != nil {
+			n.clients = nil
+			return
+		}
+	}
+	clients := n.clients
 	n.sent++
 	number := n.sent
 	class := number % classes
@@ -332,14 +354,33 @@
 	if class == 1 {
 		m.Key = m.ID
 	}
-	n.clients.Hand(m, func(a load.Answer) {
-		if a.Err == nil && a.Taken {
+	if f.handed != nil {
+		f.handed(m.ID)
+	}
+	clients.Hand(m, func(a load.Answer) {
+		switch {
+		case a.Err != nil:
+			go f.hangUp(n, clients) // not here: it waits for who calls this
+		case a.Taken:
 			f.ends.Taken(m.ID)
 			f.history.taken(n.i, number)
 		}
 	})
 }
 
+// hangUp lets go of connections that have ended.
+func (f *Fleet) hangUp(n *node, clients *load.RESP) {
+	n.mu.Lock()
+	mine := n.clients == clients
+	if mine {
+		n.clients = nil
+	}
+	n.mu.Unlock()
+	if mine {
+		clients.Close()
+	}
+}
+
 // Look asks a node what it knows.
 func (f *Fleet) Look(ctx context.Context, i int) (peers.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
--- a/peers/core/core.go
+++ b/peers/core/core.go
@@ -419,6 +419,8 @@
 	if d.limit > 0 {
 		if units, until, deaf := c.rights.Rights(now, budget.Key(key)); !deaf {
 			k.Share, k.ShareTil = used*float64(units)/budget.Whole, until
+		} else if d.said.ShareTil > 0 { // it had a right, and lost it then
+			k.ShareTil = min(d.said.ShareTil, now)
 		}
 	}
 	f := c.book.Find(now, verdict.Key(key))
