--- a/peers/budget/budget.go
+++ b/peers/budget/budget.go
@@ -60,7 +60,7 @@
 	askEvery  = 0.1     // of Term: the pause between two rounds
 	minLoan   = 64      // units; less is not worth a message
 	mostKeys  = 1 << 10 // of a message
-	// Those who asked for one seat at a time and got some votes each come again so many different terms later.
+	// Those who asked for one seat at a time and got some votes each come again in so many different parts of a term.
 	restSpread = 5
 )
 
--- a/peers/budget/seat.go
+++ b/peers/budget/seat.go
@@ -113,9 +113,12 @@
 			continue // its node is back: it is left to run out
 		}
 		if t := n.seats[seat]; seat != n.name && n.until(seat) <= now && now-t.since > n.cfg.Term/2 {
-			// Somebody else has some of the votes: who keeps asking would keep them apart for ever.
 			delete(n.seats, seat)
-			n.rests[seat] = now + n.cfg.kept() + n.cfg.Term*time.Duration(1+n.life%restSpread)
+			n.rests[seat] = now + n.cfg.Term/4 // the votes for its own node have not run out yet
+			if len(t.votes) > 0 {
+				// Somebody else has the others: who keeps asking would keep them apart for ever.
+				n.rests[seat] = now + n.cfg.kept() + n.cfg.Term*time.Duration(n.life%restSpread)/restSpread
+			}
 			continue
 		}
 		if n.until(seat)-now > n.cfg.Term*2/3 {
