Rights: a lender keeps a tenth over its need; a debt elsewhere costs a quarter

Lines: budget.go lend, `headroom`. Change: kept 1.1 beside headroom 1.25; debtPart 0.75 instead of 0.5; the rig's ways dial again with a pause (they span with gRPC's empty backoff), fleets without ways, voters at its end, routes kept without traffic are bounded, talk lasts as long as the engine.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -116,13 +116,11 @@
 		return err
 	}
 	if talk != nil {
+		defer talk.Close()
 		x.Shared = talk
 	}
 	d, err := daemon.OpenWith(cfg, log, x)
 	if err != nil {
-		if talk != nil {
-			talk.Close()
-		}
 		return err
 	}
 	life, end := context.WithCancel(ctx)
@@ -139,7 +137,10 @@
 		beside.Go(func() { partners.Run(life, d.Engine()) })
 	}
 	if talk != nil {
-		beside.Go(func() { talk.Run(life) })
+		// What is still sent once the node has been told to leave goes by its rights as well.
+		talking, hush := context.WithCancel(context.WithoutCancel(ctx))
+		defer hush()
+		beside.Go(func() { talk.Run(talking) })
 	}
 	done := make(chan struct{})
 	var reloads sync.WaitGroup
--- a/fleet/known.go
+++ b/fleet/known.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	debtPart = 0.5                    // of a share, while others know that the limit is in debt
+	debtPart = 0.75                   // of a share, while others know that the limit is in debt
 	soon     = 200 * time.Millisecond // within which those who hear of a pass try as well
 )
 
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -34,7 +34,11 @@
 	Period  time.Duration // of the members' probes,
 	Term    time.Duration // and of a right
 	Silent  bool          // the nodes do not talk
-	Heavy   float64       // times the others' messages come to the first node; 0 for as many
+	// Direct has nodes call each other without ways between, for fleets that have too many; no faults of ways then. The first
+	// Deaf of them call and are called at addresses where nobody is.
+	Direct bool
+	Deaf   int
+	Heavy  float64 // times the others' messages come to the first node; 0 for as many
 	// Answer is what the partner does with a call; nil to answer all well. What it answers well is delivered.
 	Answer func(standin.Call) standin.Step
 	// Patience is for how long what must come to pass is waited for; a minute if not given.
@@ -136,7 +140,9 @@
 		f.nodes = append(f.nodes, n)
 	}
 	for i := range f.o.Nodes {
-		f.ways = append(f.ways, make([]*way, f.o.Nodes))
+		if f.ways = append(f.ways, make([]*way, f.o.Nodes)); f.o.Direct {
+			continue
+		}
 		for j := range f.o.Nodes {
 			if i == j {
 				continue
@@ -176,7 +182,7 @@
 		return err
 	}
 	member := standin.Member{ID: "e", Addr: f.partner.Addr(), Zone: "a", Kind: "plain", Dest: 1, Phase: "SERVING", Size: f.o.Limit}
-	text, err := standin.NodeConfig(n.listen, f.discovery.Addr(), standin.Limits{Cores: 1, MemoryMB: 256, Sockets: 1024, DiskMB: 16}, settings(f.o.Nodes), []standin.Member{member})
+	text, err := standin.NodeConfig(n.listen, f.discovery.Addr(), standin.Limits{Cores: 1, MemoryMB: 128, Sockets: 1024, DiskMB: 16}, settings(f.o.Nodes), []standin.Member{member})
 	if err != nil {
 		return err
 	}
@@ -184,10 +190,21 @@
 	fmt.Fprintf(&b, "name: %s\nlisten: %s\nperiod: %v\nterm: %v\ndrift: 0.02\n", n.name, n.talk, f.o.Period, f.o.Term)
 	fmt.Fprintf(&b, "voters: [")
 	for i := range min(f.o.Nodes, 5) / 2 * 2 {
-		fmt.Fprintf(&b, "%s, ", nodeName(i))
+		fmt.Fprintf(&b, "%s, ", nodeName(f.o.Nodes-2-i))
 	}
-	fmt.Fprintf(&b, "%s]\nseeds:\n", nodeName(min(f.o.Nodes, 5)/2*2))
+	fmt.Fprintf(&b, "%s]\nseeds:\n", nodeName(f.o.Nodes-1))
 	var addresses strings.Builder
+	const nobody = "127.0.0.1:1"
+	for j := range f.nodes {
+		switch {
+		case !f.o.Direct || j == n.i:
+		case n.i < f.o.Deaf || j < f.o.Deaf:
+			fmt.Fprintf(&b, "  - %s\n", nobody)
+			fmt.Fprintf(&addresses, "  %s: %s\n", nodeName(j), nobody)
+		case j%(f.o.Nodes/4+1) == f.o.Nodes/4:
+			fmt.Fprintf(&b, "  - %s\n", f.nodes[j].talk)
+		}
+	}
 	for j, w := range f.ways[n.i] {
 		if w == nil {
 			continue
@@ -197,7 +214,9 @@
 		}
 		fmt.Fprintf(&addresses, "  %s: %s\n", nodeName(j), w.addr())
 	}
-	fmt.Fprintf(&b, "addresses:\n%s", addresses.String())
+	if addresses.Len() > 0 {
+		fmt.Fprintf(&b, "addresses:\n%s", addresses.String())
+	}
 	return errors.Join(os.WriteFile(filepath.Join(n.folder, "config.json"), text, 0o600), os.WriteFile(filepath.Join(n.folder, "peers.yaml"), []byte(b.String()), 0o600))
 }
 
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -263,7 +263,7 @@
 // apart tells what nodes differ in, nothing if they agree.
 func (f *Fleet) apart(ctx context.Context) string {
 	var first string
-	for i := range f.nodes {
+	for i := f.o.Deaf; i < f.o.Nodes; i++ {
 		st, err := f.Look(ctx, i)
 		if err != nil {
 			return err.Error()
@@ -279,7 +279,7 @@
 				fmt.Fprintf(&view, "%s %x; ", m.Name, m.Life)
 			}
 		}
-		if here != f.o.Nodes {
+		if here != f.o.Nodes-f.o.Deaf {
 			return fmt.Sprintf("n%d knows of %d nodes: %s", i, here, view.String())
 		}
 		for _, r := range st.Routes {
@@ -292,7 +292,7 @@
 		if first == "" {
 			first = view.String()
 		} else if view.String() != first {
-			return fmt.Sprintf("n0: %s, n%d: %s", first, i, view.String())
+			return fmt.Sprintf("n%d: %s, n%d: %s", f.o.Deaf, first, i, view.String())
 		}
 	}
 	return ""
--- a/internal/faults/way.go
+++ b/internal/faults/way.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
@@ -55,7 +56,8 @@
 	w := &way{ln: ln, to: to, srv: grpc.NewServer(), rng: rand.New(rand.NewPCG(seed, 3)), broken: make(chan struct{})}
 	w.life, w.end = context.WithCancel(context.Background())
 	if w.onward, err = grpc.NewClient("passthrough:///"+to, grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second})); err != nil {
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
+			Backoff: backoff.Config{BaseDelay: 20 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: 200 * time.Millisecond}})); err != nil {
 		return nil, errors.Join(err, ln.Close())
 	}
 	peerspb.RegisterPeersServer(w.srv, w)
--- a/internal/faults/worth.go
+++ b/internal/faults/worth.go
@@ -60,8 +60,8 @@
 	return standin.Step{Delay: 5 * time.Millisecond, Load: load}
 }
 
-// Measure plays a while with a partner that is out in the middle of it, some nodes cut off from the others if so asked, and counts.
-func Measure(ctx context.Context, o Options, length time.Duration, deaf int) (Worth, error) {
+// Measure plays a while with a partner that is out in the middle of it, and counts.
+func Measure(ctx context.Context, o Options, length time.Duration) (Worth, error) {
 	d := &debtor{limit: o.Limit, tokens: depth * o.Limit, at: time.Now(), handed: map[string]time.Time{}, first: map[string]time.Time{}}
 	o.Answer = d.answer
 	f, err := Start(ctx, o)
@@ -74,15 +74,6 @@
 			return Worth{}, err
 		}
 	}
-	for i := range deaf {
-		for j := range f.ways {
-			for _, w := range []*way{f.ways[i][j], f.ways[j][i]} {
-				if w != nil {
-					w.set(Ill{Cut: true}, true)
-				}
-			}
-		}
-	}
 	begun := time.Now()
 	d.mu.Lock()
 	d.out = [2]time.Time{begun.Add(length / 2), begun.Add(length/2 + length/5)}
--- a/peers/budget/budget.go
+++ b/peers/budget/budget.go
@@ -53,7 +53,8 @@
 
 const (
 	floorPart = 4       // a node's floor is this part of its even one
-	headroom  = 1.25    // a node keeps, or asks for, so many times what it wants
+	headroom  = 1.25    // a node asks for so many times what it wants,
+	kept      = 1.1     // and keeps so many times of it when others ask
 	askLeast  = 3       // lenders that are asked at a time, if there are so many,
 	askMost   = 16      // and more of them the more is lacking: each is counted on for half a seat
 	lead      = 0.25    // of Term: a loan that ends sooner is replaced
@@ -453,7 +454,7 @@
 			continue
 		}
 		s := n.share(a.Key)
-		spare := n.cfg.even() - int64(s.want*headroom*Whole)
+		spare := n.cfg.even() - int64(s.want*kept*Whole)
 		left := n.cfg.seat()
 		for _, l := range s.lent {
 			if l.until > now {
--- a/peers/core/core.go
+++ b/peers/core/core.go
@@ -69,6 +69,7 @@
 	spreadTo     = 3                      // members at a time
 	mostEvidence = 64                     // in a packet
 	mostCounts   = 256                    // keys in a packet
+	mostNeeds    = 1024                   // routes that are kept without traffic
 	demandSpan   = 2 * time.Second        // over which arrivals are smoothed
 	// Of a limit the rights are made, and a little is left: a fleet that sends at the very limit never gets out of a debt.
 	used = 0.95
@@ -79,7 +80,6 @@
 	came   float64 // messages that came of late, fading
 	at     time.Duration
 	limit  float64 // calls a second as told, 0 for none
-	pinned bool    // it was told
 	said   fleet.Known
 	saidAt time.Duration
 }
@@ -165,8 +165,7 @@
 // Saw notes what a call told. A limit below 0 was not told.
 func (c *Core) Saw(now time.Duration, key Key, sign Sign, limit float64) {
 	if limit >= 0 && !math.IsInf(limit, 0) && !math.IsNaN(limit) {
-		d := c.need(key)
-		d.limit, d.pinned = limit, limit > 0
+		c.need(key).limit = limit
 	}
 	k := verdict.Key(key)
 	switch sign {
@@ -365,11 +364,11 @@
 		rate := d.rate(now)
 		pace += rate
 		switch {
-		case d.limit > 0:
-			c.rights.Want(budget.Key(key), rate/(d.limit*used))
-		case rate < 1e-3 && !d.pinned:
+		case rate < 1e-3 && (d.limit <= 0 || len(c.needs) > mostNeeds):
 			c.rights.Forget(budget.Key(key))
 			delete(c.needs, key)
+		case d.limit > 0:
+			c.rights.Want(budget.Key(key), rate/(d.limit*used))
 		}
 	}
 	c.counts.Pace(pace * 4) // with its attempts, and a burst
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -102,7 +102,7 @@
 	return s, nil
 }
 
-// Close ends a service that was not run.
+// Close gives back what Open took. It may be called after Run, and again.
 func (s *Service) Close() { s.link.Close() }
 
 func (s *Service) now() time.Duration { return time.Since(s.begun) }
@@ -215,12 +215,12 @@
 func (s *Service) Listed(l delivery.List) {
 	s.mu.Lock()
 	var fresh []sighting
-	named := map[string]bool{}
+	named, touched := map[string]bool{}, map[int]bool{}
 	for _, m := range l.Members {
 		if m.ID == "" {
 			continue
 		}
-		named[m.ID] = true
+		named[m.ID], touched[m.Dest] = true, true
 		of := s.dests[m.Dest]
 		if of == nil {
 			of = map[string]int{}
@@ -246,6 +246,9 @@
 		s.addrs[m.ID], of[m.ID] = m.Addr, m.Kind
 	}
 	for dest, of := range s.dests {
+		if !l.Complete && !touched[dest] {
+			continue
+		}
 		if l.Complete {
 			maps.DeleteFunc(of, func(id string, _ int) bool { return !named[id] })
 		}
--- a/peers/verdict/verdict.go
+++ b/peers/verdict/verdict.go
@@ -110,10 +110,11 @@
 	seq  uint64
 	all  map[Key]*place
 	mine []heard
+	tell map[Key]bool // of which others told something that is still to be told on
 }
 
 // New is an empty book.
-func New(self Observer) *Book { return &Book{self: self, all: map[Key]*place{}} }
+func New(self Observer) *Book { return &Book{self: self, all: map[Key]*place{}, tell: map[Key]bool{}} }
 
 func (b *Book) place(now time.Duration, key Key) *place {
 	p := b.all[key]
@@ -223,6 +224,7 @@
 			}
 			continue
 		}
+		b.tell[e.Key] = true
 		of[e.Kind] = heard{Evidence: e, seenAt: seenAt, heardAt: now, since: seenAt - e.Since, tell: tellings}
 		if e.Kind == Debt {
 			if from, ok := p.slow[e.Observer]; !ok || now-from >= debtSpan+debtRest || b.debtors(now, p) > 1 {
@@ -363,22 +365,30 @@
 		give(&b.mine[i])
 	}
 	b.mine = slices.DeleteFunc(b.mine, func(h heard) bool { return h.tell <= 0 || now-h.seenAt >= beliefSpan })
-	for _, key := range slices.SortedFunc(maps.Keys(b.all), func(a, c Key) int {
+	for _, key := range slices.SortedFunc(maps.Keys(b.tell), func(a, c Key) int {
 		return cmp.Or(cmp.Compare(a.Dest, c.Dest), cmp.Compare(a.Endpoint, c.Endpoint))
 	}) {
-		others := b.all[key].others
+		if len(out) >= most {
+			break
+		}
+		p := b.all[key]
+		if delete(b.tell, key); p == nil {
+			continue
+		}
+		others := p.others
 		for _, o := range slices.SortedFunc(maps.Keys(others), func(a, c Observer) int {
 			return cmp.Or(cmp.Compare(a.Name, c.Name), cmp.Compare(a.Life, c.Life))
 		}) {
 			for kind := Out; kind <= Debt; kind++ {
-				if h, ok := others[o][kind]; ok && give(&h) {
+				h, ok := others[o][kind]
+				if ok && give(&h) {
 					others[o][kind] = h
 				}
+				if ok && h.tell > 0 && now-h.seenAt < beliefSpan {
+					b.tell[key] = true
+				}
 			}
 		}
-		if len(out) >= most {
-			break
-		}
 	}
 	return out
 }
