Peers: what others name takes bounded room, and seats that are not needed are let go

Need: read as a stranger would: a packet may name any number of members, keys, seats and askers, and each was kept for ever (member.go learn, budget.go lend, seat.go grant); a node that had taken seats of dead ones renewed them for as long as those were dead, also when it needed nothing any more. Change: bounds on each, keys without want or loans are forgotten, one foreign seat at a time is let go that is not needed. A schedule of the rig that fails can be shortened.

--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -56,7 +56,8 @@
 }
 
 // Whatever is done to ways and processes: the rules are kept, the nodes that hear each other keep within the limit together, nothing
-// is lost, and once all is well again they agree. CORALYARD_ROUNDS asks for more rounds, CORALYARD_SEED for other ones.
+// is lost, and once all is well again they agree. CORALYARD_ROUNDS asks for more rounds, CORALYARD_SEED for other ones, and
+// CORALYARD_SHRINK has a schedule that fails shortened as long as it does.
 func TestRounds(t *testing.T) {
 	rounds, seed := number("CORALYARD_ROUNDS", 8), uint64(number("CORALYARD_SEED", 1))
 	const length = 5 * time.Second
@@ -73,6 +74,14 @@
 				steps := Draw(o.Seed, o.Nodes, length)
 				h, took, err := Round(t.Context(), o, steps, length)
 				if err != nil {
+					if number("CORALYARD_SHRINK", 0) > 0 {
+						steps = Shrink(steps, func(fewer []Step) bool {
+							again := o
+							again.Folder = t.TempDir()
+							_, _, err := Round(t.Context(), again, fewer, length)
+							return err != nil
+						})
+					}
 					for _, s := range steps {
 						t.Log(s)
 					}
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -369,7 +369,7 @@
 	return f.history, healed, f.history.Check()
 }
 
-// Shrink drops steps as long as what is left still fails by the same invariant, and returns what is left.
+// Shrink drops steps one by one as long as what is left still fails, and returns what is left.
 func Shrink(steps []Step, fails func([]Step) bool) []Step {
 	for i := 0; i < len(steps); {
 		fewer := append(append([]Step(nil), steps[:i]...), steps[i+1:]...)
--- a/peers/budget/budget.go
+++ b/peers/budget/budget.go
@@ -61,6 +61,8 @@
 	askEvery  = 0.1     // of Term: the pause between two rounds
 	minLoan   = 64      // units; less is not worth a message
 	mostKeys  = 1 << 10 // of a message
+	// What others name takes room here: keys that are lent, seats that are voted on, names that have asked.
+	mostShares, mostNames = 1 << 13, 1 << 12
 	// Those who asked for one seat at a time and got some votes each come again in so many different parts of a term.
 	restSpread = 5
 )
@@ -328,6 +330,7 @@
 	for _, s := range n.shares {
 		s.lent, s.borrowed = slices.DeleteFunc(s.lent, past), slices.DeleteFunc(s.borrowed, past)
 	}
+	maps.DeleteFunc(n.shares, func(_ Key, s *share) bool { return s.want == 0 && len(s.lent)+len(s.borrowed) == 0 })
 	for seat, t := range n.seats {
 		if seat != n.name && !slices.Contains(n.gone, seat) && n.until(seat) <= now {
 			delete(n.seats, seat)
@@ -439,8 +442,8 @@
 
 // lend gives what can be spared, of this node's own seat alone: what it has borrowed, or holds for one that is gone, is not lent.
 func (n *Node) lend(now time.Duration, to string, m *Message) []Amount {
-	last := n.heard[to]
-	if last.life == m.Life && m.Seq <= last.seq {
+	last, known := n.heard[to]
+	if last.life == m.Life && m.Seq <= last.seq || !known && len(n.heard) >= mostNames {
 		return nil
 	}
 	until := n.until(n.name)
@@ -450,7 +453,7 @@
 	}
 	var given []Amount
 	for _, a := range m.Amounts {
-		if len(given) >= mostKeys || slices.ContainsFunc(given, func(g Amount) bool { return g.Key == a.Key }) {
+		if len(given) >= mostKeys || n.shares[a.Key] == nil && len(n.shares) >= mostShares || slices.ContainsFunc(given, func(g Amount) bool { return g.Key == a.Key }) {
 			continue
 		}
 		s := n.share(a.Key)
--- a/peers/budget/model_test.go
+++ b/peers/budget/model_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -274,6 +275,26 @@
 	})
 }
 
+// What others name is bounded, and what nobody needs any more is forgotten.
+func TestWhatOthersNameIsBounded(t *testing.T) {
+	cfg := Settings{Fleet: 3, Term: 300, Voters: []string{nodeName(0)}}
+	n := New(cfg, nodeName(0), 1, 0)
+	n.Know([]string{nodeName(1)}, nil)
+	now := cfg.kept()
+	n.Tick(now)
+	for i := range 3 * mostShares {
+		n.Take(now, fmt.Sprint("x", i), Message{Kind: Ask, Digest: n.digest, Life: 2, Seq: 1, Amounts: []Amount{{Key{Dest: i}, 100}}})
+		n.Take(now, "x", Message{Kind: VoteFor, Digest: n.digest, Life: 2, Seq: uint64(i), Seat: fmt.Sprint("s", i)})
+	}
+	if len(n.shares) == 0 || len(n.shares) > mostShares || len(n.heard) > mostNames || len(n.voter.votes) > mostNames {
+		t.Errorf("%d shares, %d names, %d votes", len(n.shares), len(n.heard), len(n.voter.votes))
+	}
+	n.Tick(now + 3*cfg.Term)
+	if len(n.shares) != 0 || len(n.voter.votes) > 1 {
+		t.Errorf("%d shares and %d votes are kept for nobody", len(n.shares), len(n.voter.votes))
+	}
+}
+
 // Rights go where they are needed: one that wants most of a limit gets what the others leave, also of those that are gone, and gives
 // back when they want it again.
 func TestRightsFollowDemand(t *testing.T) {
@@ -312,9 +333,10 @@
 	if got := has(0); got < 0.75 {
 		t.Errorf("has %.2f of the limit, with two of five gone that do not use theirs", got)
 	}
-	for i := range 3 {
-		w.nodes[i].Want(w.key, 1)
+	if got := w.nodes[0].Seats(w.now[0]); len(got) != 3 {
+		t.Errorf("holds the seats %v", got)
 	}
+	w.nodes[0].Want(w.key, 0.1)
 	talkAmong := func(steps int) {
 		for range steps {
 			for i := range 3 {
@@ -331,7 +353,14 @@
 		}
 	}
 	talkAmong(120)
-	for i := 1; i < 3; i++ {
+	if got := w.nodes[0].Seats(w.now[0]); len(got) != 1 {
+		t.Errorf("goes on holding the seats %v without need", got)
+	}
+	for i := range 3 {
+		w.nodes[i].Want(w.key, 1)
+	}
+	talkAmong(120)
+	for i := range 3 {
 		if got := has(i); got < 0.2-1e-5 {
 			t.Errorf("%d has %.2f of the limit, its even part is 0.20", i, got)
 		}
--- a/peers/budget/seat.go
+++ b/peers/budget/seat.go
@@ -36,6 +36,9 @@
 		return false
 	}
 	old, held := v.votes[seat]
+	if !held && len(v.votes) >= mostNames {
+		return false
+	}
 	held = held && now < old.until
 	own := to.name == seat
 	switch {
@@ -102,12 +105,13 @@
 // renew asks the voters for the seats that this node holds, and for one of a node that is gone if it lacks something.
 // A seat is asked for again when a third of its lease has run, or when it is not held.
 func (n *Node) renew(now time.Duration) []Out {
-	if n.until(n.name) > now && n.short(now) {
+	if n.until(n.name) > now && n.lacks(now, minLoan) {
 		if seat, ok := n.claimable(now); ok {
 			n.seats[seat] = &tenure{since: now, until: never}
 		}
 	}
 	var out []Out
+	spare := !n.lacks(now, -n.cfg.seat())
 	for _, seat := range slices.Sorted(maps.Keys(n.seats)) {
 		if seat != n.name && !slices.Contains(n.gone, seat) {
 			continue // its node is back: it is left to run out
@@ -124,6 +128,10 @@
 		if n.until(seat)-now > n.cfg.Term*2/3 {
 			continue
 		}
+		if spare && seat != n.name { // one at a time is let go: others may need it
+			spare = false
+			continue
+		}
 		for _, voter := range n.cfg.Voters {
 			seq := n.ask(question{at: now, to: voter, seat: seat})
 			m := Message{Kind: VoteFor, Digest: n.digest, Life: n.life, Seq: seq, Seat: seat}
@@ -141,10 +149,10 @@
 	return out
 }
 
-// short tells that the node lacks units of some key beyond what it has.
-func (n *Node) short(now time.Duration) bool {
+// lacks tells that the node needs so many units of some key beyond what it has; below 0, that it could not do with so many less.
+func (n *Node) lacks(now time.Duration, units int64) bool {
 	for key, s := range n.shares {
-		if n.needs(now, key, s) >= minLoan {
+		if n.needs(now, key, s) >= units {
 			return true
 		}
 	}
--- a/peers/member/member.go
+++ b/peers/member/member.go
@@ -81,8 +81,9 @@
 	suspectMin  = 2   // and that of four members
 	agreeing    = 3   // others that have to share a suspicion for the shortest time
 	forgetAfter = 600 // Periods for which one that is gone is remembered
-	bumpsMost   = 16  // lives of one name that outbid each other so often are two processes
-	pausedAfter = 2   // Periods between two Ticks: this process was stopped
+	mostMembers = 4096
+	bumpsMost   = 16 // lives of one name that outbid each other so often are two processes
+	pausedAfter = 2  // Periods between two Ticks: this process was stopped
 )
 
 // Kind is what a message is.
@@ -393,6 +394,9 @@
 		return
 	}
 	o := n.others[r.Name]
+	if o == nil && len(n.others) >= mostMembers {
+		return
+	}
 	if o != nil && !r.overrules(o.Record) {
 		if r.State == Suspect && o.State == Suspect && r.Incarnation == o.Incarnation && r.Life == o.Life && !o.agree[r.By] && len(o.agree) <= agreeing {
 			o.agree[r.By] = true
--- a/peers/member/member_test.go
+++ b/peers/member/member_test.go
@@ -242,6 +242,17 @@
 	}
 }
 
+// However many names somebody tells, no more than so many are kept.
+func TestMembersAreBounded(t *testing.T) {
+	n := New(Settings{Self: Record{Name: "a", Life: 1}, Period: period}, 1, 0)
+	for i := range 3 * mostMembers {
+		n.Take(0, "b", Message{Kind: Ack, Records: []Record{{Name: name(i), Life: 2, Incarnation: 1}}})
+	}
+	if got := len(n.Members()); got != mostMembers+1 {
+		t.Errorf("%d members", got)
+	}
+}
+
 // Two processes of one name are told so, and end the contest.
 func TestTwoProcessesOfOneName(t *testing.T) {
 	f := newFleet(5, 3)
