--- a/record/record_test.go
+++ b/record/record_test.go
@@ -17,10 +17,12 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"starlingusher/choice"
 	"starlingusher/delivery"
+	"starlingusher/fleet"
 	"starlingusher/record"
 	"starlingusher/record/account"
 )
@@ -504,3 +506,19 @@
 		}
 	})
 }
+
+// What other nodes told is recorded as it was.
+func TestWhatOthersToldIsRecorded(t *testing.T) {
+	want := choice.Heard{Dest: 3, Endpoint: "e", Known: fleet.Known{Share: 0.25, ShareTil: 9, DebtTil: 8, OutTil: 7, SpareTil: 6, BackFrom: 5}}
+	raw, err := cbor.Marshal(record.EventOf(want, func(s string) string { return s }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var e record.Event
+	if err := cbor.Unmarshal(raw, &e); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := e.Event(); err != nil || got != choice.Event(want) {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
