Leases, first part: agreement on a table of holders and the holder's side, pure

Need: tasks of the whole fleet want one holder at a time and a token that only grows; rights by votes without memory can't give it. Change: peers/lease on go.etcd.io/raft/v3: a table that the log makes, voters that have a lease end by token and renewals once its time has run at them, holders that count from before they asked, acts with a bound, a fence. Members: how long a death takes to be known, by n.

--- /dev/null
+++ b/peers/lease/holder.go
@@ -0,0 +1,144 @@
+// Package lease gives a name to one holder of a fleet at a time: agreement of a few voters on a table, and the holder's side. It is
+// pure: no I/O, no clock of its own, no goroutine. Times are of the node's own monotonic clock and are handed in; what has to be
+// durable, and when, is told by Output. Agreement is go.etcd.io/raft/v3's, a pure machine as well; only its election time-outs
+// come from a random source of its own. Nothing here is safe for concurrent use.
+//
+// # Who may act
+//
+// A holder counts Term from before it asked, on its own clock. A voter has a lease end only after Term*(1+Drift)/(1-Drift) on its own
+// clock from when it saw it taken, or from its start if it found it taken, and only if it was not taken again since: the command
+// names the count of renewals that it is based on. Every voter may ask for that, and the log decides; who leads, and who thinks it
+// does, is no matter. So while clocks keep to Drift, two holders never may act at one instant: the second one's grant stands in the log
+// behind the end of the first one's lease, which was asked for after that had run out at the holder.
+//
+// Assumed is the bound on the clocks' rates, and that what a voter made durable is there in its next life. Nothing is assumed on
+// delay, loss, order or pauses. Wall clocks are nowhere.
+//
+// # What holds without any clock
+//
+// Tokens: each grant has a larger one than every grant before it. A holder that was stopped between looking and acting is kept
+// from harm by receivers that remember the largest token of a name (Fence) and refuse smaller ones.
+//
+// # Acts
+//
+// An act has a bound. Holder.May says whether one of that length may begin: it ends within what is left of the lease.
+package lease
+
+import (
+	"time"
+)
+
+// Grip is what a holder has of a name.
+type Grip struct {
+	Token uint64
+	Until time.Duration // by the holder's clock
+}
+
+type question struct {
+	name string
+	at   time.Duration
+}
+
+// Holder is the side of who wants to hold names. It asks voters by commands, which may get lost.
+type Holder struct {
+	cfg    Settings
+	owner  Owner
+	ask    uint64
+	open   map[uint64]question
+	wanted map[string]bool
+	grips  map[string]Grip
+	asked  map[string]time.Duration
+}
+
+// NewHolder is a holder that has nothing yet.
+func NewHolder(cfg Settings, owner Owner) *Holder {
+	return &Holder{cfg: cfg, owner: owner, open: map[uint64]question{}, wanted: map[string]bool{}, grips: map[string]Grip{}, asked: map[string]time.Duration{}}
+}
+
+// Want has a name asked for and renewed until Drop.
+func (h *Holder) Want(name string) { h.wanted[name] = true }
+
+// Drop gives a name back: the holder does not act by it any more, and the command tells the voters. It returns false if it had
+// nothing to give back.
+func (h *Holder) Drop(name string) (Command, bool) {
+	delete(h.wanted, name)
+	delete(h.asked, name)
+	g, ok := h.grips[name]
+	delete(h.grips, name)
+	for ask, q := range h.open { // an answer that is on its way gives nothing any more
+		if q.name == name {
+			delete(h.open, ask)
+		}
+	}
+	if !ok {
+		return Command{}, false
+	}
+	return Command{Do: Release, Name: name, Owner: h.owner, Token: g.Token}, true
+}
+
+// Tick returns the commands that are to be asked of some voter now: for names that are wanted, each fifth of a term, and those that
+// are held when a third of the term has run.
+func (h *Holder) Tick(now time.Duration) (all []Command) {
+	for ask, q := range h.open {
+		if now-q.at >= h.cfg.Term {
+			delete(h.open, ask)
+		}
+	}
+	for name := range h.wanted {
+		if at, ok := h.asked[name]; ok && now-at < h.cfg.Term/5 {
+			continue
+		}
+		if g, ok := h.grips[name]; ok && g.Until-now > h.cfg.Term*2/3 {
+			continue
+		}
+		h.ask++
+		h.asked[name], h.open[h.ask] = now, question{name, now}
+		all = append(all, Command{Do: Take, Name: name, Owner: h.owner, Asker: h.owner.Name, Ask: h.ask})
+	}
+	return all
+}
+
+// Answered takes an answer.
+func (h *Holder) Answered(a Answer) {
+	q, ok := h.open[a.Ask]
+	if !ok || a.Asker != h.owner.Name || q.name != a.Lease.Name {
+		return
+	}
+	delete(h.open, a.Ask)
+	if !a.Done || a.Lease.Owner != h.owner {
+		return
+	}
+	// Counted from before it was asked for.
+	g, until := h.grips[q.name], q.at+h.cfg.Term
+	if a.Lease.Token > g.Token {
+		g = Grip{Token: a.Lease.Token}
+	}
+	if a.Lease.Token == g.Token && until > g.Until {
+		g.Until = until
+	}
+	h.grips[q.name] = g
+}
+
+// May tells whether an act of that length may begin now, and by which token.
+func (h *Holder) May(now time.Duration, name string, length time.Duration) (token uint64, ok bool) {
+	g, held := h.grips[name]
+	if !held || now+length >= g.Until {
+		return 0, false
+	}
+	return g.Token, true
+}
+
+// Fence refuses acts by tokens that are smaller than one that it has seen of the name.
+type Fence struct{ last map[string]uint64 }
+
+// Passes notes the token, and tells whether the act may take effect.
+func (f *Fence) Passes(name string, token uint64) bool {
+	if f.last == nil {
+		f.last = map[string]uint64{}
+	}
+	if token < f.last[name] {
+		return false
+	}
+	f.last[name] = token
+	return true
+}
--- a/peers/member/member_test.go
+++ b/peers/member/member_test.go
@@ -279,6 +279,45 @@
 	})
 }
 
+// BenchmarkDetect is the time from a death until the first member knows of it, and until all do, in periods.
+func BenchmarkDetect(b *testing.B) {
+	for _, n := range []int{8, 80, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newFleet(n, 1)
+			f.run(90 * period)
+			var firsts, alls []float64
+			for b.Loop() {
+				i := f.rng.IntN(n)
+				life := f.nodes[i].Self().Life
+				f.stopped[i] = true
+				at, first := f.now, 0.0
+				for knowing := 0; knowing < n-1; {
+					f.run(100 * time.Millisecond)
+					knowing = 0
+					for j, o := range f.nodes {
+						if r, _ := o.Lookup(name(i)); j != i && (r.State == Dead || r.Life != life) {
+							knowing++
+						}
+					}
+					if first == 0 && knowing > 0 {
+						first = (f.now - at).Seconds()
+					}
+				}
+				firsts, alls = append(firsts, first), append(alls, (f.now-at).Seconds())
+				f.start(i)
+				f.run(30 * period)
+			}
+			slices.Sort(firsts)
+			slices.Sort(alls)
+			at := func(x []float64, q float64) float64 { return x[int(q*float64(len(x)-1))] }
+			b.ReportMetric(at(firsts, 0.5), "first-median")
+			b.ReportMetric(at(firsts, 0.99), "first-p99")
+			b.ReportMetric(at(alls, 0.5), "all-median")
+			b.ReportMetric(at(alls, 0.99), "all-p99")
+		})
+	}
+}
+
 func BenchmarkTick(b *testing.B) {
 	for _, n := range []int{8, 80, 300} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
