Members: an exchange of lists is bounded in bytes, so that the receiver can read it

Need: a node with 4,000 members of long names sent packets of 268,135 bytes, and 262,144 are read: its streams would have broken at each exchange. Lines at fault: member.go sync and Take, which sent the whole list. Change: of a list beyond 96 KiB some are drawn for each exchange, this node always among them; a test with as many members, routes and news as a node keeps.

--- a/peers/link/link_test.go
+++ b/peers/link/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"reflect"
 	"testing"
@@ -76,6 +77,40 @@
 	})
 }
 
+// The largest packets that a node sends are ones that others read: with as many members, routes and news as it keeps.
+func TestLargestPackets(t *testing.T) {
+	c := core.New(core.Settings{
+		Member: member.Settings{Self: member.Record{Name: "n2", Life: 2, Addr: "a"}, Period: 100 * time.Millisecond},
+		Budget: budget.Settings{Fleet: 3, Voters: []string{"n2"}, Term: time.Second},
+	}, 1, 0)
+	name := func(i int) string { return fmt.Sprintf("%0*d", 60, i) }
+	p := core.Packet{From: name(1), Life: 9}
+	for i := range 8000 {
+		p.Member = append(p.Member, member.Message{Kind: member.Ack, Records: []member.Record{{Name: name(i), Life: 9, Incarnation: 1, Addr: name(i), Machine: name(i), Zone: name(i)}}})
+		key := tally.Key{Dest: i, Endpoint: name(i)}
+		p.Reports = append(p.Reports, tally.Report{Life: tally.Life{Name: name(i % 900), Life: 9}, Counts: map[tally.Key]tally.Counts{key: {1 << 60, 1 << 60, 1 << 60}}})
+		p.Evidence = append(p.Evidence, verdict.Evidence{Key: verdict.Key(key), Kind: verdict.Out, Observer: verdict.Observer{Name: name(i), Life: 9}, Seq: 1})
+	}
+	p.Member = append(p.Member, member.Message{Kind: member.Sync})
+	c.Take(time.Second, p)
+	largest := 0
+	for at := time.Second; at < 5*time.Second; at += 50 * time.Millisecond {
+		for i := range 300 {
+			k := core.Key{Dest: i, Endpoint: name(i)}
+			c.Came(at, k, 1)
+			c.Sent(k)
+			c.Saw(at, k, core.Passed, 5)
+		}
+		c.Tick(at)
+		for _, l := range c.Letters() {
+			largest = max(largest, sizeOf(toProto(&l.Packet)))
+		}
+	}
+	if t.Logf("%d bytes", largest); largest > maxPacket || largest < 10_000 {
+		t.Errorf("the largest packet has %d bytes, %d are read", largest, maxPacket)
+	}
+}
+
 // What was under way for long beyond the fastest of its stream is late, by any clocks, and a stream is not late for ever.
 func TestDelay(t *testing.T) {
 	var d delay
--- a/peers/member/member.go
+++ b/peers/member/member.go
@@ -82,8 +82,9 @@
 	agreeing    = 3   // others that have to share a suspicion for the shortest time
 	forgetAfter = 600 // Periods for which one that is gone is remembered
 	mostMembers = 4096
-	bumpsMost   = 16 // lives of one name that outbid each other so often are two processes
-	pausedAfter = 2  // Periods between two Ticks: this process was stopped
+	mostSync    = 96 << 10 // bytes of the records in an exchange, roughly; of a longer list some are drawn
+	bumpsMost   = 16       // lives of one name that outbid each other so often are two processes
+	pausedAfter = 2        // Periods between two Ticks: this process was stopped
 )
 
 // Kind is what a message is.
@@ -276,7 +277,7 @@
 func (n *Node) sync(now time.Duration) []Out {
 	n.syncAt = now + n.periods(syncPeriods*(0.75+0.5*n.rng.Float64()))
 	maps.DeleteFunc(n.others, func(_ string, o *other) bool { return o.State > Suspect && now-o.since >= n.periods(forgetAfter) })
-	m := Message{Kind: Sync, Records: n.Members()}
+	m := Message{Kind: Sync, Records: n.listed()}
 	if n.there == 0 {
 		n.syncAt = now + n.cfg.Period
 		var out []Out
@@ -290,6 +291,30 @@
 	return n.toOne(m)
 }
 
+// listed is the list for an exchange, this node itself always in it.
+func (n *Node) listed() []Record {
+	all := n.Members()
+	size := func(r Record) int {
+		return 48 + len(r.Name) + len(r.By) + len(r.Addr) + len(r.Machine) + len(r.Zone)
+	}
+	total := 0
+	for _, r := range all {
+		total += size(r)
+	}
+	if total <= mostSync {
+		return all
+	}
+	n.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	some, total := []Record{n.self}, size(n.self)
+	for _, r := range all {
+		if total += size(r); total > mostSync {
+			break
+		}
+		some = append(some, r)
+	}
+	return some
+}
+
 func (n *Node) toOne(m Message) []Out {
 	names := slices.Sorted(maps.Keys(n.others))
 	names = slices.DeleteFunc(names, func(name string) bool { return n.others[name].State == Left })
@@ -379,7 +404,7 @@
 			}
 		}
 	case Sync:
-		out = append(out, Out{To: from, Message: Message{Kind: SyncBack, Records: n.Members()}})
+		out = append(out, Out{To: from, Message: Message{Kind: SyncBack, Records: n.listed()}})
 	}
 	return out
 }
