--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -345,7 +345,15 @@
 		return f.history, 0, err
 	}
 	load, stop := context.WithCancel(ctx)
-	defer stop()
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		f.history.watch(load)
+	}()
+	defer func() {
+		stop()
+		<-watched
+	}()
 	loaded := make(chan struct{})
 	go func() {
 		defer close(loaded)
