Planted faults leave no files of failures behind

Need: the property tests that a planted fault makes fail wrote their draws into the package's folder, and twelve such files were committed.

--- a/internal/planted/planted.go
+++ b/internal/planted/planted.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.CommandContext(ctx, "go", "test", "-count=1", "-failfast", "-overlay", overlay, "-run", pattern, pkg, "-rapid.shrinktime=1s")
+	cmd := exec.CommandContext(ctx, "go", "test", "-count=1", "-failfast", "-overlay", overlay, "-run", pattern, pkg, "-rapid.shrinktime=1s", "-rapid.nofailfile")
 	cmd.Dir = root
 	out, err := cmd.CombinedOutput()
 	var failed *exec.ExitError
