One reader of operators' YAML files, and fields that nobody read are gone

Need: on reading the change again: peers' settings repeated AS2's reading of a YAML file and its faults line by line; the rig, core and verdict had fields that were written and never read. Change: filefault.DecodeYAML serves both; the fields are gone.

--- a/as2/setup/setup.go
+++ b/as2/setup/setup.go
@@ -11,7 +11,6 @@
 	"encoding/pem"
 	"errors"
 	"fmt"
-	"io"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -162,19 +161,8 @@
 }
 
 func (p *parser) file(text []byte) *File {
-	if len(text) > maxFile {
-		p.fail(1, "holds %d bytes, %d at most", len(text), maxFile)
-		return nil
-	}
 	var form fileForm
-	d := yaml.NewDecoder(strings.NewReader(string(text)))
-	d.KnownFields(true)
-	if err := d.Decode(&form); err != nil {
-		if errors.Is(err, io.EOF) {
-			p.fail(1, "is empty")
-			return nil
-		}
-		p.syntax(err)
+	if p.problems = filefault.DecodeYAML(text, maxFile, &form); len(p.problems) > 0 {
 		return nil
 	}
 	f := &File{}
@@ -201,19 +189,6 @@
 	return f
 }
 
-// syntax takes the lines out of the reader's words.
-func (p *parser) syntax(err error) {
-	words := []string{err.Error()}
-	if t := (*yaml.TypeError)(nil); errors.As(err, &t) {
-		words = t.Errors
-	}
-	for _, w := range words {
-		problem := filefault.Words(w)
-		text, _, _ := strings.Cut(problem.Text, " in type ") // the name of a Go type says nothing to an operator
-		p.fail(max(problem.Line, 1), "%s", text)
-	}
-}
-
 func (p *parser) name(v value[string], what string) string {
 	switch {
 	case v.V == "":
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -60,26 +60,23 @@
 	discovery *standin.Discovery
 	ends      *load.Ends
 	nodes     []*node
-	ways      [][]*way // from, to
-	begun     time.Time
+	ways      [][]*way        // from, to
 	handed    func(id string) // is told of each message that clients hand in; nil for nobody
 }
 
 // node is a place in the fleet: a folder and addresses, and the process that has them now.
 type node struct {
-	i              int
-	name           string
-	folder         string
-	listen, talk   string // to clients, to peers
-	mu             sync.Mutex
-	cmd            *exec.Cmd
-	done           chan struct{} // closed when the process has ended
-	wanted         bool          // it is to run
-	stopped        bool
-	clients        *load.RESP
-	sent           int
-	lostBefore     int // messages up to this number were held in a folder that is lost
-	takenSinceOpen bool
+	i            int
+	name         string
+	folder       string
+	listen, talk string // to clients, to peers
+	mu           sync.Mutex
+	cmd          *exec.Cmd
+	done         chan struct{} // closed when the process has ended
+	wanted       bool          // it is to run
+	stopped      bool
+	clients      *load.RESP
+	sent         int
 }
 
 func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
@@ -105,7 +102,7 @@
 	if o.Patience == 0 {
 		o.Patience = time.Minute
 	}
-	f := &Fleet{o: o, history: newHistory(o), ends: load.NewEnds(), begun: time.Now()}
+	f := &Fleet{o: o, history: newHistory(o), ends: load.NewEnds()}
 	if err := f.start(ctx); err != nil {
 		f.Close()
 		return nil, err
--- a/peers/core/core.go
+++ b/peers/core/core.go
@@ -105,7 +105,6 @@
 	countAt     time.Duration
 	wantAt      time.Duration
 	twin        bool
-	begun       time.Duration
 }
 
 // Event is something for the log.
@@ -135,7 +134,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, self.Life)), members: member.New(cfg.Member, seed, now),
 		rights: budget.New(cfg.Budget, self.Name, self.Life, now), counts: tally.New(tally.Life{Name: self.Name, Life: self.Life}, now),
 		book: verdict.New(verdict.Observer{Name: self.Name, Life: self.Life}), needs: map[Key]*demand{}, out: map[string]*Letter{},
-		strange: map[string]bool{}, deaf: true, deafFrom: now, begun: now,
+		strange: map[string]bool{}, deaf: true, deafFrom: now,
 	}
 }
 
@@ -159,7 +158,7 @@
 	return d.came * math.Exp(-(now-d.at).Seconds()/demandSpan.Seconds()) / demandSpan.Seconds()
 }
 
-// Sent notes a call that begins. Cold says that its route is on its way back.
+// Sent notes a call that begins.
 func (c *Core) Sent(key Key) { c.counts.Add(tally.Key(key), tally.Begun, 1) }
 
 // Saw notes what a call told. A limit below 0 was not told.
--- a/peers/settings.go
+++ b/peers/settings.go
@@ -1,9 +1,7 @@
 package peers
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"slices"
@@ -93,27 +91,8 @@
 }
 
 func (p *parser) file(text []byte) *File {
-	if len(text) > maxFile {
-		p.fail(1, "holds %d bytes, %d at most", len(text), maxFile)
-		return nil
-	}
 	var form fileForm
-	d := yaml.NewDecoder(strings.NewReader(string(text)))
-	d.KnownFields(true)
-	if err := d.Decode(&form); err != nil {
-		if errors.Is(err, io.EOF) {
-			p.fail(1, "is empty")
-			return nil
-		}
-		words := []string{err.Error()}
-		if t := (*yaml.TypeError)(nil); errors.As(err, &t) {
-			words = t.Errors
-		}
-		for _, w := range words {
-			problem := filefault.Words(w)
-			text, _, _ := strings.Cut(problem.Text, " in type ")
-			p.fail(problem.Line, "%s", text)
-		}
+	if p.problems = filefault.DecodeYAML(text, maxFile, &form); len(p.problems) > 0 {
 		return nil
 	}
 	f := &File{
--- a/peers/verdict/verdict.go
+++ b/peers/verdict/verdict.go
@@ -82,8 +82,8 @@
 // heard is evidence as it is kept, with times of this node's clock.
 type heard struct {
 	Evidence
-	seenAt, heardAt, since time.Duration
-	tell                   int
+	seenAt, since time.Duration
+	tell          int
 }
 
 // own is what this node sees of a key.
@@ -191,7 +191,7 @@
 	p.own.said[kind] = now
 	b.seq++
 	e := Evidence{Key: key, Kind: kind, Observer: b.self, Seq: b.seq, Since: since, Calls: calls}
-	b.mine = append(b.mine, heard{Evidence: e, seenAt: now, heardAt: now, since: now - since, tell: tellings})
+	b.mine = append(b.mine, heard{Evidence: e, seenAt: now, since: now - since, tell: tellings})
 }
 
 // Hear takes what others tell, now.
@@ -225,7 +225,7 @@
 			continue
 		}
 		b.tell[e.Key] = true
-		of[e.Kind] = heard{Evidence: e, seenAt: seenAt, heardAt: now, since: seenAt - e.Since, tell: tellings}
+		of[e.Kind] = heard{Evidence: e, seenAt: seenAt, since: seenAt - e.Since, tell: tellings}
 		if e.Kind == Debt {
 			if from, ok := p.slow[e.Observer]; !ok || now-from >= debtSpan+debtRest || b.debtors(now, p) > 1 {
 				p.slow[e.Observer] = now
