Leases run: voters with folders, one watch, one trier, duties, and a witness in the rig

Need: leases stood as pure machines that nothing used: no store, no messages, no group's start, no answer to folders that are lost or put back, no task, no proof over processes. Change: peers/lease has the voters' admission (founding by all, a folder held against what others have seen of it, a group that is gone founded anew above its tokens), a line for each name, one Node for holder and voter; peers/lease/folder keeps promises in a synced bbolt file; links carry it; peers runs it, with three tasks: one watch of discovery whose lists are passed on (peers/relay), trials of a route that is out, duties of the operators' own; coralyard lease lists, reads, ends and does. The rig has a witness outside the processes. Rights are made of the whole limit: the twentieth that was left served nothing once a debt is told (debtPart).

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -30,6 +30,7 @@
 	Undelivered undeliveredCommand `cmd:"" help:"Look at undelivered messages, decide on them and send them again."`
 	Recording   recordingCommand   `cmd:"" help:"Tell from a recording why messages waited, were refused or came late."`
 	Peers       peersCommand       `cmd:"" help:"Show what a running node knows of the fleet that it talks with: members, links, rights, judgements."`
+	Lease       leaseCommand       `cmd:"" help:"Show leases of the fleet, end one, or run a command while one is held."`
 	Lab         labCommand         `cmd:"" passthrough:"" help:"The laboratory: play days of fleets, compare, search. Try: coralyard lab --help."`
 }
 
@@ -118,6 +119,9 @@
 	if talk != nil {
 		defer talk.Close()
 		x.Shared = talk
+		if d := talk.Discovery(); d != nil {
+			x.Relay = d
+		}
 	}
 	d, err := daemon.OpenWith(cfg, log, x)
 	if err != nil {
--- a/cmd/coralyard/peers.go
+++ b/cmd/coralyard/peers.go
@@ -33,7 +33,7 @@
 	if f.Name == "" {
 		f.Name = cfg.Name
 	}
-	return peers.Open(peers.Options{File: f, Settings: cfg.Settings, Log: log})
+	return peers.Open(peers.Options{File: f, Settings: cfg.Settings, State: cfg.State, Log: log})
 }
 
 type peersCommand struct {
--- a/internal/boltfile/boltfile.go
+++ b/internal/boltfile/boltfile.go
@@ -98,6 +98,13 @@
 	return f.db.Update(do)
 }
 
+// UpdateSynced is Update of what is to outlast a power cut as well. It is not called beside other updates.
+func (f *File) UpdateSynced(do func(*bbolt.Tx) error) error {
+	f.db.NoSync = false
+	defer func() { f.db.NoSync = true }()
+	return f.Update(do)
+}
+
 // View is bbolt's.
 func (f *File) View(do func(*bbolt.Tx) error) (err error) {
 	defer caught(f.db.Path(), &err)
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -184,6 +184,35 @@
 	}
 }
 
+// Whatever is done to ways and processes, leases among them: two holders never act at once, as a witness outside the processes sees it,
+// tokens never go back, and once all is well somebody acts again. CORALYARD_LEASES asks for more rounds.
+func TestLeases(t *testing.T) {
+	rounds, seed := number("CORALYARD_LEASES", 6), uint64(number("CORALYARD_SEED", 1))
+	const length = 6 * time.Second
+	side := make(chan struct{}, 4)
+	for i := range rounds {
+		t.Run(fmt.Sprint("seed ", seed+uint64(i)), func(t *testing.T) {
+			t.Parallel()
+			side <- struct{}{}
+			defer func() { <-side }()
+			o := options(t, seed+uint64(i))
+			o.Nodes = 5 + 2*int(o.Seed%2)
+			o.Leases, o.Rate = time.Second, 4
+			steps := Draw(o.Seed, o.Nodes, length)
+			h, took, err := Round(t.Context(), o, steps, length)
+			if h != nil {
+				t.Logf("%s; agreed %v after", h.Summary(), took.Round(time.Millisecond))
+			}
+			if err != nil {
+				for _, s := range steps {
+					t.Log(s)
+				}
+				t.Fatal(err)
+			}
+		})
+	}
+}
+
 // A calm fleet agrees, and goes by its rights.
 func TestCalm(t *testing.T) {
 	h, _, err := Round(context.Background(), options(t, 3), nil, 0)
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -34,6 +34,7 @@
 	Period  time.Duration // of the members' probes,
 	Term    time.Duration // and of a right
 	Silent  bool          // the nodes do not talk
+	Leases  time.Duration // term of leases, by which nodes do a duty at a witness, watch discovery and try what is out; 0 for none
 	// Direct has nodes call each other without ways between, for fleets that have too many; no faults of ways then. The first
 	// Deaf of them call and are called at addresses where nobody is.
 	Direct bool
@@ -60,7 +61,8 @@
 	discovery *standin.Discovery
 	ends      *load.Ends
 	nodes     []*node
-	ways      [][]*way        // from, to
+	ways      [][]*way // from, to
+	witness   *witness
 	handed    func(id string) // is told of each message that clients hand in; nil for nobody
 }
 
@@ -128,6 +130,10 @@
 	if err != nil {
 		return err
 	}
+	if f.o.Leases > 0 {
+		f.witness = newWitness(f.o.Seed)
+		f.history.witness = f.witness
+	}
 	addrs, err := reserve(2*f.o.Nodes, f.o.Seed)
 	if err != nil {
 		return err
@@ -214,6 +220,9 @@
 	if addresses.Len() > 0 {
 		fmt.Fprintf(&b, "addresses:\n%s", addresses.String())
 	}
+	if f.o.Leases > 0 {
+		fmt.Fprintf(&b, "leases:\n  term: %v\n  discovery: fleet\n  trials: true\n  duties:\n    - {name: witness, url: %q, every: 10ms, within: %v}\n", f.o.Leases, f.witness.url(), f.o.Leases/8)
+	}
 	return errors.Join(os.WriteFile(filepath.Join(n.folder, "config.json"), text, 0o600), os.WriteFile(filepath.Join(n.folder, "peers.yaml"), []byte(b.String()), 0o600))
 }
 
@@ -423,4 +432,7 @@
 	if f.discovery != nil {
 		f.discovery.Close()
 	}
+	if f.witness != nil {
+		f.witness.close()
+	}
 }
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -334,6 +334,26 @@
 	return all
 }
 
+// votersApart tells in what the voters of leases differ, nothing if all vote and know the same voters.
+func (f *Fleet) votersApart(ctx context.Context) string {
+	first := ""
+	for i := f.o.Nodes - min(f.o.Nodes, 5); i < f.o.Nodes; i++ {
+		st, err := f.Look(ctx, i)
+		if err != nil {
+			return err.Error()
+		}
+		if st.Leases == nil || st.Leases.Standing != "in" || len(st.Leases.Voters) != 5 {
+			return fmt.Sprintf("n%d as a voter: %+v", i, st.Leases)
+		}
+		if voters := fmt.Sprint(st.Leases.Voters); first == "" {
+			first = voters
+		} else if first != voters {
+			return fmt.Sprintf("n%d knows the voters %s, another %s", i, voters, first)
+		}
+	}
+	return ""
+}
+
 // Round is one run: a fleet, a schedule, healing, and the checks. Its history is returned with what was wrong.
 func Round(ctx context.Context, o Options, steps []Step, length time.Duration) (*History, time.Duration, error) {
 	f, err := Start(ctx, o)
@@ -374,9 +394,35 @@
 			return f.history, 0, errors.Join(err, f.history.Check())
 		}
 	}
+	if err := f.Acted(ctx); err != nil {
+		return f.history, 0, errors.Join(err, f.history.Check())
+	}
 	return f.history, healed, f.history.Check()
 }
 
+// Acted waits until somebody acts by the lease again.
+func (f *Fleet) Acted(ctx context.Context) error {
+	if f.witness == nil {
+		return nil
+	}
+	late := time.Now().Add(f.o.Patience)
+	why := "no act"
+	for before := f.witness.count(); why != ""; {
+		if time.Now().After(late) {
+			return fmt.Errorf("%w for %v after all is well: %s", ErrNoHolder, f.o.Patience, why)
+		}
+		if f.witness.count() > before {
+			why = f.votersApart(ctx)
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // Shrink drops steps one by one as long as what is left still fails, and returns what is left.
 func Shrink(steps []Step, fails func([]Step) bool) []Step {
 	for i := 0; i < len(steps); {
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -18,6 +19,7 @@
 	names wire.Names
 	after int64 // the revision that is known at the start
 	nodes int   // that ask the same discovery
+	relay Relay // nil where each node watches for itself
 
 	mu   sync.Mutex
 	site *site
@@ -28,6 +30,7 @@
 	addr     string
 	client   *http.Client
 	moved    bool      // there was another one before
+	asked    bool      // it has told this node something; only kept where there is a relay
 	caughtUp time.Time // until then a list may be older than what the one before has told
 	left     context.Context
 	leave    context.CancelFunc
@@ -39,6 +42,19 @@
 	return s
 }
 
+// Relay has one node's watch of discovery serve others. Its methods may be called by many goroutines at a time.
+type Relay interface {
+	// Moves tells where discovery is.
+	Moves(addr string)
+	// Told is a line of this node's own watch with its revision and the one that it follows on. Ended says that the watch has ended.
+	Told(after, revision int64, line []byte)
+	Ended()
+	// Alone waits until this node has to watch for itself, or has not to.
+	Alone(ctx context.Context, alone bool) error
+	// List waits for a line of another's watch.
+	List(ctx context.Context) ([]byte, error)
+}
+
 // newAgent knows a list already: that of a node's configuration.
 func newAgent(addr string, known list, nodes int, names wire.Names, log *slog.Logger) *agent {
 	return &agent{log: log, names: names, after: known.Revision, nodes: nodes, site: newSite(addr)}
@@ -76,28 +92,98 @@
 // Watch follows discovery, wherever it moves, until ctx ends. Another server is asked for all it has, so that nothing
 // is lost; while its list is older than what was told, it is not taken, or a drain could be undone.
 func (a *agent) Watch(ctx context.Context, tell func(delivery.List)) {
-	newest := a.after
+	r := &reader{agent: a, newest: a.after, tell: tell}
+	var beside sync.WaitGroup
+	defer beside.Wait()
+	if a.relay != nil {
+		beside.Go(func() { r.relayed(ctx) })
+	}
 	for ctx.Err() == nil {
 		s, here, leave := a.at(ctx)
-		after := newest
-		if s.moved {
-			after = 0
-		}
-		watch(here, a.log, s.client, s.addr, after, a.nodes, func(l list) error {
-			if l.Revision < newest && time.Now().Before(s.caughtUp) {
-				return errBehind
+		if a.relay == nil {
+			r.watch(here, s)
+		} else {
+			a.relay.Moves(s.addr)
+			for a.relay.Alone(here, true) == nil {
+				// Once another's watch serves this node as well, its own is of no use.
+				own, end := context.WithCancel(here)
+				beside.Go(func() {
+					a.relay.Alone(own, false) // an error says that the watch has ended before
+					end()
+				})
+				r.watch(own, s)
+				end()
+				a.relay.Ended()
 			}
-			newest = l.Revision
-			for _, odd := range l.odd(a.names) {
-				a.log.Warn("a member of the list is odd", "discovery", s.addr, "revision", l.Revision, "why", odd)
-			}
-			tell(l.told(a.names))
-			return nil
-		})
+		}
 		leave()
 	}
 }
 
+// reader takes lists from whoever tells them, in the order of their revisions.
+type reader struct {
+	*agent
+	tell func(delivery.List)
+
+	mu     sync.Mutex
+	newest int64
+}
+
+// watch follows a watch of this node's own until ctx ends.
+func (r *reader) watch(ctx context.Context, s *site) {
+	r.mu.Lock()
+	after := r.newest
+	r.mu.Unlock()
+	if s.moved && !s.asked {
+		after = 0
+	}
+	watch(ctx, r.log, s.client, s.addr, after, r.nodes, func(l list) error {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if l.Revision < r.newest && time.Now().Before(s.caughtUp) {
+			return errBehind
+		}
+		if r.relay != nil {
+			if ctx.Err() != nil { // another's watch serves this node by now
+				return ctx.Err()
+			}
+			s.asked = true
+			defer r.relay.Told(l.after, l.Revision, l.line)
+		}
+		r.take(s.addr, l)
+		return nil
+	})
+}
+
+// take hands a list on. The lock is held.
+func (r *reader) take(from string, l list) {
+	r.newest = l.Revision
+	for _, odd := range l.odd(r.names) {
+		r.log.Warn("a member of the list is odd", "discovery", from, "revision", l.Revision, "why", odd)
+	}
+	r.tell(l.told(r.names))
+}
+
+// relayed takes the lists of another's watch until ctx ends.
+func (r *reader) relayed(ctx context.Context) {
+	for {
+		line, err := r.relay.List(ctx)
+		if err != nil {
+			return
+		}
+		var l list
+		if err := json.Unmarshal(line, &l); err != nil {
+			r.log.Error("a list of another node's watch can't be read", "err", err)
+			continue
+		}
+		r.mu.Lock()
+		if l.Revision > r.newest {
+			r.take("another node's watch", l)
+		}
+		r.mu.Unlock()
+	}
+}
+
 // Take posts notices until they are answered 204, at whatever address discovery then has. A notice may be posted
 // twice: one for a message that is over does no harm.
 func (a *agent) Take(ctx context.Context, ends []delivery.End) error {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -37,6 +37,9 @@
 	Revision int64    `json:"revision"`
 	Complete bool     `json:"complete"`
 	Members  []member `json:"members"`
+
+	line  []byte // as it came, until the next one comes
+	after int64  // the revision that it follows on
 }
 
 type member struct {
@@ -180,10 +183,11 @@
 		if len(line) == 0 {
 			continue
 		}
-		var l list
+		l := list{line: line, after: after}
 		if err := json.Unmarshal(line, &l); err != nil {
 			return fmt.Errorf("watch: %w", err)
 		}
+		after = l.Revision
 		if err := tell(l); err != nil {
 			return err
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	Carriers map[int]delivery.Carrier
 	Recorder delivery.Recorder // is told what the decisions are told; nil for none
 	Shared   delivery.Shared   // where nodes that talk tell each other what they see; nil for none
+	Relay    Relay             // where one node's watch of discovery serves others; nil where each watches for itself
 	// Further fronts share the node's engine, and with it each partner's rate, waits and slots.
 	Further []delivery.Front
 }
@@ -73,6 +74,7 @@
 // New loads the journal.
 func New(cfg Config, log *slog.Logger, x Extras) (*Node, error) {
 	n := &Node{cfg: cfg, log: log, agent: newAgent(cfg.Discovery, cfg.Known, cfg.Settings.Fleet, cfg.Names, log)}
+	n.agent.relay = x.Relay
 	own := delivery.Front{
 		Name: Front, Sink: n.agent, Leave: func() { n.clients.close() },
 		Carrier: NewCarrier(cfg, x.Carriers),
--- a/peers/core/core.go
+++ b/peers/core/core.go
@@ -13,7 +13,9 @@
 
 	"starlingusher/fleet"
 	"starlingusher/peers/budget"
+	"starlingusher/peers/lease"
 	"starlingusher/peers/member"
+	"starlingusher/peers/relay"
 	"starlingusher/peers/tally"
 	"starlingusher/peers/verdict"
 )
@@ -29,6 +31,8 @@
 	Budget   []budget.Message
 	Reports  []tally.Report
 	Evidence []verdict.Evidence
+	Lease    []lease.Message // of leases and
+	Relay    []relay.Word    // of discovery's lists, which package peers takes and sends beside the core
 }
 
 // Letter is a packet and the address that it goes to.
@@ -71,8 +75,6 @@
 	mostCounts   = 256                    // keys in a packet
 	mostNeeds    = 1024                   // routes that are kept without traffic
 	demandSpan   = 2 * time.Second        // over which arrivals are smoothed
-	// Of a limit the rights are made, and a little is left: a fleet that sends at the very limit never gets out of a debt.
-	used = 0.95
 )
 
 // demand is what a node needs of a route.
@@ -82,8 +84,20 @@
 	limit  float64 // calls a second as told, 0 for none
 	said   fleet.Known
 	saidAt time.Duration
+	trials Trials // who tries it while it is out, by a lease
+	trialT time.Duration
 }
 
+// Trials is what a lease of a route's trials says.
+type Trials uint8
+
+// Without a lease, or a word of it, those that see a route out share its trials out by what they hear.
+const (
+	TrialsShared Trials = iota
+	TrialsMine          // until the lease is over
+	TrialsOthers        // until its holder has to be heard of again
+)
+
 // Core is one node's side.
 type Core struct {
 	cfg     Settings
@@ -105,6 +119,7 @@
 	countAt     time.Duration
 	wantAt      time.Duration
 	twin        bool
+	moved       bool // members' addresses may have changed
 }
 
 // Event is something for the log.
@@ -134,7 +149,7 @@
 		cfg: cfg, rng: rand.New(rand.NewPCG(seed, self.Life)), members: member.New(cfg.Member, seed, now),
 		rights: budget.New(cfg.Budget, self.Name, self.Life, now), counts: tally.New(tally.Life{Name: self.Name, Life: self.Life}, now),
 		book: verdict.New(verdict.Observer{Name: self.Name, Life: self.Life}), needs: map[Key]*demand{}, out: map[string]*Letter{},
-		strange: map[string]bool{}, deaf: true, deafFrom: now,
+		strange: map[string]bool{}, deaf: true, deafFrom: now, moved: true,
 	}
 }
 
@@ -197,11 +212,7 @@
 
 // toName is the letter to a member, nil if nobody knows where it is.
 func (c *Core) toName(name string) *Letter {
-	addr := c.cfg.Addresses[name]
-	if addr == "" {
-		r, _ := c.members.Lookup(name)
-		addr = r.Addr
-	}
+	addr := c.address(name)
 	if addr == "" {
 		return nil
 	}
@@ -289,7 +300,7 @@
 		}
 		delete(c.strange, ch.Name)
 	}
-	c.alive, c.gone = nil, nil
+	c.alive, c.gone, c.moved = nil, nil, true
 	for _, r := range c.members.Members() {
 		switch {
 		case r.Name == c.cfg.Member.Self.Name:
@@ -367,7 +378,7 @@
 			c.rights.Forget(budget.Key(key))
 			delete(c.needs, key)
 		case d.limit > 0:
-			c.rights.Want(budget.Key(key), rate/(d.limit*used))
+			c.rights.Want(budget.Key(key), rate/d.limit)
 		}
 	}
 	c.counts.Pace(pace * 4) // with its attempts, and a burst
@@ -389,6 +400,57 @@
 // Leave tells the others that this node leaves.
 func (c *Core) Leave(now time.Duration) { c.sendMember(c.members.Leave(now)) }
 
+// Failing are the routes that this node has found out by itself, in order, and whether it has tried each of late.
+func (c *Core) Failing(now time.Duration) (all []Key, tried []bool) {
+	for _, key := range slices.SortedFunc(maps.Keys(c.needs), compareKeys) {
+		if f := c.book.Find(now, verdict.Key(key)); f.Failing {
+			all, tried = append(all, key), append(tried, f.Tried)
+		}
+	}
+	return all, tried
+}
+
+// Trials says who tries a route until a time.
+func (c *Core) Trials(key Key, who Trials, until time.Duration) {
+	if d := c.needs[key]; d != nil {
+		d.trials, d.trialT = who, until
+	}
+}
+
+// address is where a node is reached, empty if that is not known.
+func (c *Core) address(name string) string {
+	if addr := c.cfg.Addresses[name]; addr != "" {
+		return addr
+	}
+	r, _ := c.members.Lookup(name)
+	return r.Addr
+}
+
+// Moved tells whether Addresses may be others than at the last call.
+func (c *Core) Moved() bool {
+	moved := c.moved
+	c.moved = false
+	return moved
+}
+
+// Addresses are where nodes are reached, by name.
+func (c *Core) Addresses() map[string]string {
+	all := maps.Clone(c.cfg.Addresses)
+	if all == nil {
+		all = map[string]string{}
+	}
+	for _, r := range c.members.Members() {
+		if all[r.Name] == "" && r.Addr != "" {
+			all[r.Name] = r.Addr
+		}
+	}
+	return all
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Dest, b.Dest), cmp.Compare(a.Endpoint, b.Endpoint))
+}
+
 // News is what the decisions are to know of a route, with times of the core's clock.
 type News struct {
 	Key   Key
@@ -398,9 +460,7 @@
 // News returns what has changed for the decisions, and what would be over soon.
 func (c *Core) News(now time.Duration) []News {
 	var all []News
-	for _, key := range slices.SortedFunc(maps.Keys(c.needs), func(a, b Key) int {
-		return cmp.Or(cmp.Compare(a.Dest, b.Dest), cmp.Compare(a.Endpoint, b.Endpoint))
-	}) {
+	for _, key := range slices.SortedFunc(maps.Keys(c.needs), compareKeys) {
 		d := c.needs[key]
 		k := c.known(now, key, d)
 		if k != d.said && (differs(now, k, d.said) || now-d.saidAt >= renewEvery) {
@@ -416,13 +476,21 @@
 	var k fleet.Known
 	if d.limit > 0 {
 		if units, until, deaf := c.rights.Rights(now, budget.Key(key)); !deaf {
-			k.Share, k.ShareTil = used*float64(units)/budget.Whole, until
+			k.Share, k.ShareTil = float64(units)/budget.Whole, until
 		} else if d.said.ShareTil > 0 { // it had a right, and lost it then
 			k.ShareTil = min(d.said.ShareTil, now)
 		}
 	}
 	f := c.book.Find(now, verdict.Key(key))
 	k.DebtTil, k.SpareTil, k.BackFrom = f.Debt, f.Spare, f.Back
+	if f.Failing && now < d.trialT {
+		switch d.trials {
+		case TrialsMine:
+			k.SpareTil = 0
+		case TrialsOthers:
+			k.SpareTil = d.trialT
+		}
+	}
 	if f.Out {
 		k.OutTil = f.Until
 	}
--- a/peers/core/status.go
+++ b/peers/core/status.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -84,9 +83,7 @@
 	for _, key := range c.counts.Keys() {
 		keys[Key(key)] = true
 	}
-	for _, key := range slices.SortedFunc(maps.Keys(keys), func(a, b Key) int {
-		return cmp.Or(cmp.Compare(a.Dest, b.Dest), cmp.Compare(a.Endpoint, b.Endpoint))
-	}) {
+	for _, key := range slices.SortedFunc(maps.Keys(keys), compareKeys) {
 		r := Route{Dest: key.Dest, Endpoint: key.Endpoint, Counts: map[string]Count{}}
 		units, _, _ := c.rights.Rights(now, budget.Key(key))
 		lent, borrowed := c.rights.Loans(now, budget.Key(key))
--- a/peers/lease/holder.go
+++ b/peers/lease/holder.go
@@ -25,6 +25,8 @@
 package lease
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -34,6 +36,13 @@
 	Until time.Duration // by the holder's clock
 }
 
+// Heard is what the voters told last of a name that this holder wants and does not have.
+type Heard struct {
+	Lease Lease
+	At    time.Duration // when it was asked for, by the holder's clock
+	Place int           // in the line, from 1; 0 for none
+}
+
 type question struct {
 	name string
 	at   time.Duration
@@ -44,25 +53,27 @@
 	cfg    Settings
 	owner  Owner
 	ask    uint64
+	above  uint64 // the largest token that it knows of
 	open   map[uint64]question
 	wanted map[string]bool
 	grips  map[string]Grip
+	heard  map[string]Heard
 	asked  map[string]time.Duration
 }
 
 // NewHolder is a holder that has nothing yet.
 func NewHolder(cfg Settings, owner Owner) *Holder {
-	return &Holder{cfg: cfg, owner: owner, open: map[uint64]question{}, wanted: map[string]bool{}, grips: map[string]Grip{}, asked: map[string]time.Duration{}}
+	return &Holder{cfg: cfg, owner: owner, open: map[uint64]question{}, wanted: map[string]bool{}, grips: map[string]Grip{}, heard: map[string]Heard{}, asked: map[string]time.Duration{}}
 }
 
 // Want has a name asked for and renewed until Drop.
 func (h *Holder) Want(name string) { h.wanted[name] = true }
 
-// Drop gives a name back: the holder does not act by it any more, and the command tells the voters. It returns false if it had
-// nothing to give back.
-func (h *Holder) Drop(name string) (Command, bool) {
+// Drop gives a name back, or a place in its line: the holder does not act by it any more, and the command tells the voters.
+func (h *Holder) Drop(name string) Command {
 	delete(h.wanted, name)
 	delete(h.asked, name)
+	delete(h.heard, name)
 	g, ok := h.grips[name]
 	delete(h.grips, name)
 	for ask, q := range h.open { // an answer that is on its way gives nothing any more
@@ -71,12 +82,23 @@
 		}
 	}
 	if !ok {
-		return Command{}, false
+		return Command{Do: Quit, Name: name, Owner: h.owner}
+	}
+	return Command{Do: Release, Name: name, Owner: h.owner, Token: g.Token}
+}
+
+// pause is how long after one question for a name the next one comes: sooner for who has it or is the next one.
+func (h *Holder) pause(now time.Duration, name string) time.Duration {
+	if g, ok := h.grips[name]; ok && now < g.Until {
+		return h.cfg.Term / 5
+	}
+	if place := h.heard[name].Place; place > 1 {
+		return h.cfg.Term / 2
 	}
-	return Command{Do: Release, Name: name, Owner: h.owner, Token: g.Token}, true
+	return h.cfg.Term / 5
 }
 
-// Tick returns the commands that are to be asked of some voter now: for names that are wanted, each fifth of a term, and those that
+// Tick returns the commands that are to be asked of some voter now: for names that are wanted, some five times a term, and those that
 // are held when a third of the term has run.
 func (h *Holder) Tick(now time.Duration) (all []Command) {
 	for ask, q := range h.open {
@@ -84,8 +106,8 @@
 			delete(h.open, ask)
 		}
 	}
-	for name := range h.wanted {
-		if at, ok := h.asked[name]; ok && now-at < h.cfg.Term/5 {
+	for _, name := range slices.Sorted(maps.Keys(h.wanted)) {
+		if at, ok := h.asked[name]; ok && now-at < h.pause(now, name) {
 			continue
 		}
 		if g, ok := h.grips[name]; ok && g.Until-now > h.cfg.Term*2/3 {
@@ -93,21 +115,24 @@
 		}
 		h.ask++
 		h.asked[name], h.open[h.ask] = now, question{name, now}
-		all = append(all, Command{Do: Take, Name: name, Owner: h.owner, Asker: h.owner.Name, Ask: h.ask})
+		all = append(all, Command{Do: Take, Name: name, Owner: h.owner, Above: h.above, Asker: h.owner.Name, Ask: h.ask})
 	}
 	return all
 }
 
-// Answered takes an answer.
-func (h *Holder) Answered(a Answer) {
+// Answered takes an answer, and tells whether it was to a question of this holder.
+func (h *Holder) Answered(a Answer) bool {
 	q, ok := h.open[a.Ask]
 	if !ok || a.Asker != h.owner.Name || q.name != a.Lease.Name {
-		return
+		return false
 	}
 	delete(h.open, a.Ask)
+	h.above = max(h.above, a.Lease.Token)
 	if !a.Done || a.Lease.Owner != h.owner {
-		return
+		h.heard[q.name] = Heard{a.Lease, q.at, a.Place}
+		return true
 	}
+	delete(h.heard, q.name)
 	// Counted from before it was asked for.
 	g, until := h.grips[q.name], q.at+h.cfg.Term
 	if a.Lease.Token > g.Token {
@@ -117,8 +142,21 @@
 		g.Until = until
 	}
 	h.grips[q.name] = g
+	return true
 }
 
+// Remember notes a token that somebody has seen: what is granted to this holder from now on is above it.
+func (h *Holder) Remember(token uint64) { h.above = max(h.above, token) }
+
+// Grips are the names that this holder has had, those as well whose time has run.
+func (h *Holder) Grips() map[string]Grip { return h.grips }
+
+// Heard tells what the voters told last of a name that this holder wants and does not have; At is 0 if nothing.
+func (h *Holder) Heard(name string) Heard { return h.heard[name] }
+
+// Wants are the names that are asked for.
+func (h *Holder) Wants() []string { return slices.Sorted(maps.Keys(h.wanted)) }
+
 // May tells whether an act of that length may begin now, and by which token.
 func (h *Holder) May(now time.Duration, name string, length time.Duration) (token uint64, ok bool) {
 	g, held := h.grips[name]
--- a/peers/link/link.go
+++ b/peers/link/link.go
@@ -6,6 +6,8 @@
 // tells of is dated by its age.
 package link
 
+//go:generate protoc -I peerspb --go_out=peerspb --go_opt=paths=source_relative --go-grpc_out=peerspb --go-grpc_opt=paths=source_relative peerspb/peers.proto
+
 import (
 	"context"
 	"errors"
@@ -22,6 +24,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"starlingusher/peers/core"
+	"starlingusher/peers/lease"
 	"starlingusher/peers/link/peerspb"
 )
 
@@ -47,6 +50,25 @@
 	Log    *slog.Logger
 	// Look answers an operator, in JSON.
 	Look func(context.Context) ([]byte, error)
+	// Leases does what an operator's processes ask of leases; nil for nobody.
+	Leases Leases
+}
+
+// Leases is a node's side of what operators ask.
+type Leases interface {
+	// Command asks the voters.
+	Command(context.Context, lease.Command) (lease.Result, error)
+	// Hold holds a lease for a session until ctx ends or tell fails, which is told of every change.
+	Hold(ctx context.Context, name string, session uint64, tell func(Held) error) error
+	// Held is what the session has of a lease now.
+	Held(name string, session uint64) Held
+}
+
+// Held is what a node has of a lease.
+type Held struct {
+	Token  uint64        // 0 if it does not have it
+	Left   time.Duration // of it
+	Holder string        // as far as is known
 }
 
 // Link is a node's side of all its ways.
--- a/peers/link/packet.go
+++ b/peers/link/packet.go
@@ -12,6 +12,7 @@
 	"starlingusher/peers/core"
 	"starlingusher/peers/link/peerspb"
 	"starlingusher/peers/member"
+	"starlingusher/peers/relay"
 	"starlingusher/peers/tally"
 	"starlingusher/peers/verdict"
 )
@@ -24,6 +25,7 @@
 	maxName    = 256       // bytes of a name, an address, an endpoint
 	maxEntries = 8192      // of each list in a packet
 	maxSpan    = 24 * time.Hour
+	maxRelayed = 64 // lists in a relay's word
 )
 
 // ErrBadPacket is wrapped by what is said of a packet that can't be read.
@@ -66,6 +68,16 @@
 			AgeUs: micros(e.Age), SinceUs: micros(e.Since), Calls: e.Calls,
 		})
 	}
+	for i := range p.Lease {
+		out.Lease = append(out.Lease, leaseToProto(&p.Lease[i]))
+	}
+	for _, r := range p.Relay {
+		w := &peerspb.Relay{Lease: r.Lease, Token: r.Token, Discovery: r.Discovery, Revision: r.Revision, Ask: r.Ask}
+		for _, l := range r.Lists {
+			w.Lists = append(w.Lists, &peerspb.RelayList{After: l.After, Revision: l.Revision, Line: l.Line})
+		}
+		out.Relay = append(out.Relay, w)
+	}
 	return out
 }
 
@@ -193,6 +205,19 @@
 			Observer: verdict.Observer{Name: r.text("a name", e.Name), Life: e.Life}, Seq: e.Seq, Age: r.span("an age", e.AgeUs), Since: r.span("a span", e.SinceUs), Calls: e.Calls,
 		})
 	}
+	r.list("leases", len(w.Lease))
+	r.list("relays", len(w.Relay))
+	for _, m := range w.Lease {
+		p.Lease = append(p.Lease, r.lease(m))
+	}
+	for _, o := range w.Relay {
+		out := relay.Word{Lease: r.text("a lease", o.Lease), Token: o.Token, Discovery: r.text("an address", o.Discovery), Revision: o.Revision, Ask: o.Ask}
+		r.within("the length of lists", uint64(len(o.Lists)), maxRelayed)
+		for _, l := range o.Lists {
+			out.Lists = append(out.Lists, relay.List{After: l.GetAfter(), Revision: l.GetRevision(), Line: l.GetLine()})
+		}
+		p.Relay = append(p.Relay, out)
+	}
 	if r.err != nil {
 		return core.Packet{}, r.err
 	}
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -36,6 +36,7 @@
 type Options struct {
 	File     *File
 	Settings choice.Settings // of the node
+	State    string          // the node's folder that lasts; only a voter of leases writes to it
 	Log      *slog.Logger
 }
 
@@ -47,8 +48,13 @@
 	core  *core.Core
 	link  *link.Link
 	looks chan chan Status
+	// Of leases; nil where the file has no part on them, or not on that.
+	leases    *leases
+	discovery *Discovery
+	trials    *trials
 
 	mu     sync.Mutex
+	where  map[string]string // addresses of members, by name
 	seen   []sighting
 	missed uint64
 	apart  map[int][]string       // endpoints of destinations whose endpoints are routes apart
@@ -89,7 +95,7 @@
 		return nil, fmt.Errorf("peers: the node has no name")
 	}
 	var err error
-	s.link, err = link.Open(link.Options{Listen: o.File.Listen, Name: s.self.Name, Life: s.self.Life, Log: o.Log, Look: s.look})
+	s.link, err = link.Open(link.Options{Listen: o.File.Listen, Name: s.self.Name, Life: s.self.Life, Log: o.Log, Look: s.look, Leases: newOperator(s)})
 	if err != nil {
 		return nil, err
 	}
@@ -98,33 +104,62 @@
 		Budget:    budget.Settings{Fleet: max(o.Settings.Fleet, 1), Voters: o.File.Voters, Term: o.File.Term, Drift: o.File.Drift},
 		Addresses: o.File.Addresses,
 	}, binary.LittleEndian.Uint64(seed[8:]), 0)
+	if o.File.Leases != nil {
+		if s.leases, err = openLeases(s, o.State); err != nil {
+			s.link.Close()
+			return nil, err
+		}
+		if o.File.Leases.Discovery != "" {
+			s.discovery = newDiscovery(s)
+		}
+		if o.File.Leases.Trials {
+			s.trials = &trials{s: s, wanted: map[core.Key]string{}, todo: make(chan func(context.Context), mostTodo)}
+		}
+	}
 	o.Log.Info("talking to peers", "name", s.self.Name, "life", fmt.Sprintf("%016x", s.self.Life), "listen", s.link.Addr(), "seeds", o.File.Seeds, "voters", o.File.Voters)
 	return s, nil
 }
 
 // Close gives back what Open took. It may be called after Run, and again.
-func (s *Service) Close() { s.link.Close() }
+func (s *Service) Close() {
+	s.link.Close()
+	if s.leases != nil {
+		if err := s.leases.close(); err != nil {
+			s.o.Log.Error("the file of leases can't be closed", "err", err)
+		}
+	}
+}
 
 func (s *Service) now() time.Duration { return time.Since(s.begun) }
 
 // Run talks until ctx ends, and then tells some others that it leaves.
 func (s *Service) Run(ctx context.Context) {
 	defer s.link.Close()
+	wait := s.besides(ctx)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
 		select {
 		case p := <-s.link.Packets():
 			s.core.Take(s.now(), p)
+			s.pass(p)
 		case <-tick.C:
 			s.told()
 			s.core.Tick(s.now())
+			s.locate()
+			if s.trials != nil {
+				s.trials.tick(s.now())
+			}
+			if s.discovery != nil {
+				s.discovery.tick(s.now())
+			}
 			s.publish()
 		case reply := <-s.looks:
 			reply <- s.status()
 		case <-ctx.Done():
 			s.core.Leave(s.now())
 			s.post()
+			wait()
 			time.Sleep(leaveTime) // for what was posted; nothing waits for it to arrive
 			return
 		}
@@ -133,6 +168,59 @@
 	}
 }
 
+// besides starts what a node with leases has beside the service's goroutine. What it returns is called when ctx has ended, and waits: those
+// who act by leases end first, then what is held is given back.
+func (s *Service) besides(ctx context.Context) (wait func()) {
+	if s.leases == nil {
+		return func() {}
+	}
+	var acting, holding sync.WaitGroup
+	held, end := context.WithCancel(context.WithoutCancel(ctx))
+	holding.Go(func() { s.leases.run(held) })
+	if s.discovery != nil {
+		acting.Go(func() { s.discovery.run(ctx) })
+	}
+	if s.trials != nil {
+		acting.Go(func() { s.trials.run(ctx) })
+	}
+	for _, d := range s.o.File.Leases.Duties {
+		acting.Go(func() { s.serve(ctx, d) })
+	}
+	return func() {
+		acting.Wait()
+		end()
+		holding.Wait()
+	}
+}
+
+// pass hands on what is not the core's.
+func (s *Service) pass(p core.Packet) {
+	if s.leases != nil && len(p.Lease) > 0 {
+		s.leases.take(p)
+	}
+	if s.discovery != nil && len(p.Relay) > 0 {
+		s.discovery.take(p.From, p.Relay)
+	}
+}
+
+// locate notes where members are, for those who send beside the core.
+func (s *Service) locate() {
+	if s.leases == nil || !s.core.Moved() {
+		return
+	}
+	where := s.core.Addresses()
+	s.mu.Lock()
+	s.where = where
+	s.mu.Unlock()
+}
+
+// address is where a node is reached, empty if that is not known.
+func (s *Service) address(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.where[name]
+}
+
 func (s *Service) post() {
 	for _, l := range s.core.Letters() {
 		s.link.Send(l.Addr, l.Packet)
@@ -330,5 +418,13 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	return json.Marshal(<-reply)
+	st := <-reply
+	if s.leases != nil {
+		got := make(chan *LeaseStatus, 1)
+		if err := s.leases.inside(ctx, func(now time.Duration) { got <- s.leases.status(now) }); err != nil {
+			return nil, err
+		}
+		st.Leases = <-got
+	}
+	return json.Marshal(st)
 }
--- a/peers/settings.go
+++ b/peers/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"net/url"
 	"os"
 	"slices"
 	"strings"
@@ -26,11 +27,35 @@
 	Period    time.Duration     // between two probes
 	Term      time.Duration     // of a right
 	Drift     float64           // longest difference of a clock's rate from true time
+	Leases    *Leases           // nil where tasks of the fleet are not shared out
+}
+
+// Leases says which tasks one node does for the whole fleet.
+type Leases struct {
+	Term      time.Duration // of a lease; the same in all files
+	Discovery string        // Fleet or Zone: one node watches discovery for all, or for those of its zone; empty: each for itself
+	Trials    bool          // of a route that is out, one node's
+	Duties    []Duty
+}
+
+// Whose watch of discovery serves whom.
+const (
+	Fleet = "fleet"
+	Zone  = "zone"
+)
+
+// Duty is a task of the operators' own: a call of a URL, again and again, by one node of the fleet.
+type Duty struct {
+	Name   string
+	URL    string
+	Every  time.Duration // from the beginning of one call to the next
+	Within time.Duration // the longest that a call may last
 }
 
 const (
 	maxFile       = 256 << 10
 	maxNames      = 4096
+	maxDuties     = 64
 	defaultPeriod = 500 * time.Millisecond
 	defaultTerm   = 3 * time.Second
 	defaultDrift  = 0.01
@@ -63,6 +88,19 @@
 	Period    entry[string]            `yaml:"period"`
 	Term      entry[string]            `yaml:"term"`
 	Drift     entry[float64]           `yaml:"drift"`
+	Leases    *leasesForm              `yaml:"leases"`
+}
+
+type leasesForm struct {
+	Term      entry[string] `yaml:"term"`
+	Discovery entry[string] `yaml:"discovery"`
+	Trials    entry[bool]   `yaml:"trials"`
+	Duties    []struct {
+		Name   entry[string] `yaml:"name"`
+		URL    entry[string] `yaml:"url"`
+		Every  entry[string] `yaml:"every"`
+		Within entry[string] `yaml:"within"`
+	} `yaml:"duties"`
 }
 
 // Load reads a file. One with any problem is refused whole, by a *filefault.FileError with all of them.
@@ -134,9 +172,48 @@
 	for name, a := range form.Addresses {
 		f.Addresses[name] = p.address(a, "addresses")
 	}
+	if form.Leases != nil {
+		f.Leases = p.leases(form.Leases, f)
+	}
 	return f
 }
 
+func (p *parser) leases(form *leasesForm, f *File) *Leases {
+	l := &Leases{Term: p.span(form.Term, "leases: term", defaultTerm, 200*time.Millisecond, time.Hour), Discovery: form.Discovery.V, Trials: form.Trials.V}
+	switch l.Discovery {
+	case "", Fleet:
+	case Zone:
+		if f.Zone == "" {
+			p.fail(form.Discovery.Line, "discovery %q: this node's zone is not given", l.Discovery)
+		}
+	default:
+		p.fail(form.Discovery.Line, "discovery %q: %q or %q", l.Discovery, Fleet, Zone)
+	}
+	if f.Listen == "" && slices.Contains(f.Voters, f.Name) {
+		p.fail(1, "a voter has to listen")
+	}
+	if len(form.Duties) > maxDuties {
+		p.fail(form.Duties[maxDuties].Name.Line, "%d duties, %d at most", len(form.Duties), maxDuties)
+	}
+	names := map[string]bool{}
+	for _, d := range form.Duties {
+		duty := Duty{Name: p.name(d.Name, "duty", false), URL: d.URL.V, Every: p.span(d.Every, "every", 0, 10*time.Millisecond, 24*time.Hour)}
+		duty.Within = p.span(d.Within, "within", l.Term/4, time.Millisecond, l.Term/2)
+		if u, err := url.Parse(duty.URL); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			p.fail(max(d.URL.Line, d.Name.Line), "duty %q: url %q: an http or https URL", duty.Name, duty.URL)
+		}
+		if duty.Every == 0 {
+			p.fail(d.Name.Line, "duty %q: every is missing", duty.Name)
+		}
+		if names[duty.Name] {
+			p.fail(d.Name.Line, "duty %q stands twice", duty.Name)
+		}
+		names[duty.Name] = true
+		l.Duties = append(l.Duties, duty)
+	}
+	return l
+}
+
 func (p *parser) name(v entry[string], what string, mayLack bool) string {
 	bad := strings.ContainsFunc(v.V, func(r rune) bool { return r <= ' ' || r > '~' })
 	if v.V == "" && mayLack {
--- a/peers/status.go
+++ b/peers/status.go
@@ -13,10 +13,11 @@
 // Status is what a node knows of its fleet, for operators.
 type Status struct {
 	core.Status
-	At     time.Time   `json:"at"`
-	Ways   []link.Way  `json:"ways"`
-	Seen   link.Counts `json:"packets"`
-	Missed uint64      `json:"missed,omitempty"` // sightings that were not told for want of room
+	At     time.Time    `json:"at"`
+	Ways   []link.Way   `json:"ways"`
+	Seen   link.Counts  `json:"packets"`
+	Missed uint64       `json:"missed,omitempty"` // sightings that were not told for want of room
+	Leases *LeaseStatus `json:"leases,omitempty"`
 }
 
 func (s *Service) status() Status {
--- a/peers/verdict/verdict.go
+++ b/peers/verdict/verdict.go
@@ -272,6 +272,8 @@
 	Debt  time.Duration // the limit is in debt until then; 0 if it is not known to be
 	Spare time.Duration // until then others try whether it is back, and this node need not; 0 if it has to
 	Until time.Duration // for how long all this holds if nothing more is heard
+	// Failing tells that this node itself has found it out and knows of nobody who has passed since, Tried that it has tried of late.
+	Failing, Tried bool
 }
 
 // triers is how many of those that see an endpoint fail go on trying it.
@@ -319,6 +321,7 @@
 	f.Until = max(f.Until, f.Debt)
 	if f.Back == 0 && p.own.fails >= outCalls {
 		f.Spare = b.spared(now, key, p)
+		f.Failing, f.Tried = true, now-p.own.failedLast() <= beliefSpan
 	}
 	return f
 }
