--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -100,9 +100,15 @@
 	t.Logf("%d rounds", len(healed))
 }
 
-// The rig can fail: each planted fault is found by some round. It takes minutes, and runs where CORALYARD_PLANTED is set, to the
-// most rounds that are played for each.
-func TestPlantedFaultsAreFoundByRounds(t *testing.T) {
+// plantedFault is a fault and what finds it, nil for whatever does.
+type plantedFault struct {
+	planted.Fault
+	by error
+}
+
+// plantedRounds plays rounds of a program with a fault until one finds it. It takes minutes, and runs where CORALYARD_PLANTED is set, to
+// the most rounds that are played for each.
+func plantedRounds(t *testing.T, all []plantedFault, round func(context.Context, Options) error) {
 	most := number("CORALYARD_PLANTED", 0)
 	if most == 0 {
 		t.Skip("CORALYARD_PLANTED is not set")
@@ -111,18 +117,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	const length = 5 * time.Second
-	for _, f := range []struct {
-		planted.Fault
-		by error
-	}{
-		{planted.Fault{Name: "a lease has no end", File: "peers/budget/seat.go", Old: "\t\treturn t.until\n", New: "\t\treturn t.until + time.Hour\n"}, ErrOver},
-		{planted.Fault{Name: "a seat is given twice", File: "peers/budget/seat.go", Old: "case held && old.to != to:", New: "case held && old.to != to && own:"}, ErrOver},
-		{planted.Fault{Name: "nothing is refuted", File: "peers/member/member.go", Old: "same := r.Life", New: "same := r.State != Alive || r.Life"}, ErrApart},
-		{planted.Fault{Name: "newcomers are not told old counts", File: "peers/tally/tally.go", Old: "\tlives := slices.SortedFunc(maps.Keys(t.all), compare)\n", New: "\tlives := []Life{t.self}\n"}, ErrApart},
-		{planted.Fault{Name: "a payout is sent again after a restart", File: "choice/choice.go", Old: "m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect != Safe", New: "m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect == Keyed"}, ErrTwice},
-		{planted.Fault{Name: "the journal is not written", File: "delivery/journal.go", Old: "func (j *journal) flush() error {\n", New: "func (j *journal) flush() error {\n\tj.pending = j.pending[:0]\n"}, ErrLost},
-	} {
+	for _, f := range all {
 		t.Run(f.Name, func(t *testing.T) {
 			folder := t.TempDir()
 			overlay, err := f.Overlay(root, folder)
@@ -133,14 +128,14 @@
 			if out, err := exec.Command("go", "build", "-overlay", overlay, "-o", faulty, "starlingusher/cmd/coralyard").CombinedOutput(); err != nil {
 				t.Fatalf("%s: %v", out, err)
 			}
-			for round := range most {
-				o := options(t, uint64(100+round))
+			for n := range most {
+				o := options(t, uint64(100+n))
 				o.Program, o.Patience = faulty, 15*time.Second
-				if _, _, err := Round(t.Context(), o, Draw(o.Seed, o.Nodes, length), length); err != nil {
-					if !errors.Is(err, f.by) {
+				if err := round(t.Context(), o); err != nil {
+					if !errors.Is(err, f.by) && f.by != nil {
 						t.Errorf("found by another invariant: %v", err)
 					}
-					t.Logf("found in round %d: %.300v", round+1, err)
+					t.Logf("found in round %d: %.300v", n+1, err)
 					return
 				}
 			}
@@ -149,6 +144,22 @@
 	}
 }
 
+// The rig can fail: each planted fault is found by some round.
+func TestPlantedFaultsAreFoundByRounds(t *testing.T) {
+	const length = 5 * time.Second
+	plantedRounds(t, []plantedFault{
+		{planted.Fault{Name: "a lease has no end", File: "peers/budget/seat.go", Old: "\t\treturn t.until\n", New: "\t\treturn t.until + time.Hour\n"}, ErrOver},
+		{planted.Fault{Name: "a seat is given twice", File: "peers/budget/seat.go", Old: "case held && old.to != to:", New: "case held && old.to != to && own:"}, ErrOver},
+		{planted.Fault{Name: "nothing is refuted", File: "peers/member/member.go", Old: "same := r.Life", New: "same := r.State != Alive || r.Life"}, ErrApart},
+		{planted.Fault{Name: "newcomers are not told old counts", File: "peers/tally/tally.go", Old: "\tlives := slices.SortedFunc(maps.Keys(t.all), compare)\n", New: "\tlives := []Life{t.self}\n"}, ErrApart},
+		{planted.Fault{Name: "a payout is sent again after a restart", File: "choice/choice.go", Old: "m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect != Safe", New: "m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect == Keyed"}, ErrTwice},
+		{planted.Fault{Name: "the journal is not written", File: "delivery/journal.go", Old: "func (j *journal) flush() error {\n", New: "func (j *journal) flush() error {\n\tj.pending = j.pending[:0]\n"}, ErrLost},
+	}, func(ctx context.Context, o Options) error {
+		_, _, err := Round(ctx, o, Draw(o.Seed, o.Nodes, length), length)
+		return err
+	})
+}
+
 // What talk is worth over sockets, in one run: nodes that don't talk, that talk, and that talk with a third cut off. It runs where
 // CORALYARD_WORTH names how many rounds, and asserts nothing.
 func TestWorth(t *testing.T) {
--- a/internal/faults/witness.go
+++ b/internal/faults/witness.go
@@ -32,6 +32,9 @@
 	refused []act
 }
 
+// longOnes is how many acts there are to one that does not end by itself.
+const longOnes = 8
+
 func newWitness(seed uint64) *witness {
 	w := &witness{rng: rand.New(rand.NewPCG(seed, 21))}
 	w.srv = httptest.NewServer(w)
@@ -64,7 +67,11 @@
 		return
 	}
 	w.last = a.token
-	lasts := time.NewTimer(time.Duration(w.rng.Float64() * 0.9 * float64(within) * float64(time.Millisecond)))
+	part := 0.9 * w.rng.Float64()
+	if w.rng.IntN(longOnes) == 0 { // far longer than it may, unless its caller gives it up
+		part = 20
+	}
+	lasts := time.NewTimer(time.Duration(part * float64(within) * float64(time.Millisecond)))
 	w.mu.Unlock()
 	defer lasts.Stop()
 	select {
--- a/peers/lease/table.go
+++ b/peers/lease/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -195,28 +196,51 @@
 	return slices.SortedFunc(maps.Values(t.Leases), func(a, b Lease) int { return cmp.Compare(a.Name, b.Name) })
 }
 
-// snapshot is the table as it goes to disks and to voters that are far behind: as JSON, compressed, since it has to fit in a message.
+// How the bytes after the first one of a snapshot are written.
+const (
+	plain byte = iota
+	compressed
+)
+
+const (
+	smallTable = 4 << 10 // bytes, below which compression is not worth it
+	maxTable   = 8 << 20
+)
+
+// snapshot is the table as it goes to disks and to voters that are far behind: as JSON, compressed if it is large, since it has to fit in a message.
 func (t *table) snapshot() []byte {
 	raw, err := json.Marshal(t)
 	if err != nil {
 		panic(err) // strings and numbers alone
 	}
+	if len(raw) < smallTable {
+		return append([]byte{plain}, raw...)
+	}
 	w, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
 	if err != nil {
 		panic(err) // of options alone
 	}
-	return w.EncodeAll(raw, nil)
+	return w.EncodeAll(raw, []byte{compressed})
 }
 
-const maxTable = 8 << 20 // bytes
-
-func restore(raw []byte) (*table, error) {
+// unpacked is the JSON of a snapshot.
+func unpacked(raw []byte) ([]byte, error) {
+	if len(raw) > 0 && raw[0] == plain {
+		return raw[1:], nil
+	}
+	if len(raw) == 0 || raw[0] != compressed {
+		return nil, errors.New("its form is not known")
+	}
 	r, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxTable))
 	if err != nil {
 		panic(err) // of options alone
 	}
 	defer r.Close()
-	text, err := r.DecodeAll(raw, nil)
+	return r.DecodeAll(raw[1:], nil)
+}
+
+func restore(raw []byte) (*table, error) {
+	text, err := unpacked(raw)
 	if err != nil {
 		return nil, fmt.Errorf("lease: snapshot: %w", err)
 	}
