Rig: processes whose wall clocks are an hour off and whose clocks' rates differ

Need: clocks were set off in model tests alone, since a process's clock can't be set without privileges. Change: the program is built with another package time by an overlay of the standard library; each node's clocks go by their own rate.

--- /dev/null
+++ b/internal/faults/clocks.go
@@ -0,0 +1,96 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"go/build"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// clockVariable tells a process of a Skewed program how its clocks go: seconds that its wall clock is ahead, and its rates' parts in a
+// thousand above true time.
+const clockVariable = "CORALYARD_RIG_CLOCK"
+
+// skew goes into package time of a Skewed program.
+const skew = `package time
+
+import "syscall"
+
+var skewWall, skewRate = skewed()
+
+func skewed() (wall, rate int64) {
+	text, _ := syscall.Getenv("` + clockVariable + `")
+	at, sign := &wall, int64(1)
+	for _, c := range []byte(text) {
+		switch {
+		case c == ' ':
+			*at *= sign
+			at, sign = &rate, 1
+		case c == '-':
+			sign = -1
+		case c >= '0' && c <= '9':
+			*at = *at*10 + int64(c-'0')
+		}
+	}
+	*at *= sign
+	return wall, rate
+}
+
+func skewMono(mono int64) int64 { return mono + (mono-startNano)/1000*skewRate }
+`
+
+// Skewed builds the program with clocks that can be set off, without any privilege: by an overlay of the standard library's package time. What
+// sleeps sleeps for true time; what looks at a clock sees another.
+func Skewed(ctx context.Context, folder string) (program string, err error) {
+	at := filepath.Join(build.Default.GOROOT, "src", "time")
+	source, err := os.ReadFile(filepath.Join(at, "time.go"))
+	if err != nil {
+		return "", err
+	}
+	text := string(source)
+	for _, change := range [][2]string{
+		{"sec, nsec, mono := runtimeNow()\n\tif mono == 0 {", "sec, nsec, mono := runtimeNow()\n\tsec, mono = sec+skewWall, skewMono(mono)\n\tif mono == 0 {"},
+		{"subMono(runtimeNano()-startNano, t.ext)", "subMono(skewMono(runtimeNano())-startNano, t.ext)"},
+		{"subMono(t.ext, runtimeNano()-startNano)", "subMono(t.ext, skewMono(runtimeNano())-startNano)"},
+	} {
+		if !strings.Contains(text, change[0]) {
+			return "", fmt.Errorf("faults: this Go's package time has no line %q", change[0])
+		}
+		text = strings.ReplaceAll(text, change[0], change[1])
+	}
+	replace := map[string]string{}
+	for name, text := range map[string]string{"time.go": text, "skew.go": skew} {
+		path := filepath.Join(folder, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return "", err
+		}
+		replace[filepath.Join(at, name)] = path
+	}
+	overlay, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(folder, "overlay.json")
+	if err := os.WriteFile(path, overlay, 0o600); err != nil {
+		return "", err
+	}
+	program = filepath.Join(folder, "coralyard")
+	if out, err := exec.CommandContext(ctx, "go", "build", "-overlay", path, "-o", program, "starlingusher/cmd/coralyard").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%s: %w", out, err)
+	}
+	return program, nil
+}
+
+// clock draws how a node's clocks go: an hour off either way or not, and as fast or slow as the settings' drift allows.
+func clock(seed uint64, node int) string {
+	wall := []int{-3600, 0, 3600}[(seed+uint64(node))%3]
+	rate := []int{-drift, 0, drift}[(seed/3+uint64(node))%3]
+	return fmt.Sprintf("%s=%d %d", clockVariable, wall, rate)
+}
+
+// drift is the settings', in parts of a thousand.
+const drift = 20
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -224,6 +224,39 @@
 	}
 }
 
+// The same where wall clocks are an hour off either way and the clocks' rates differ by as much as the settings say. It builds the program with another
+// package time, and runs where CORALYARD_CLOCKS names how many rounds.
+func TestClocks(t *testing.T) {
+	rounds, seed := number("CORALYARD_CLOCKS", 0), uint64(number("CORALYARD_SEED", 500))
+	if rounds == 0 {
+		t.Skip("CORALYARD_CLOCKS is not set")
+	}
+	skewed, err := Skewed(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	const length = 5 * time.Second
+	side := make(chan struct{}, 4)
+	t.Run("all", func(t *testing.T) {
+		for i := range rounds {
+			t.Run(fmt.Sprint("seed ", seed+uint64(i)), func(t *testing.T) {
+				t.Parallel()
+				side <- struct{}{}
+				defer func() { <-side }()
+				o := options(t, seed+uint64(i))
+				o.Program, o.Clocks, o.Leases = skewed, true, time.Second
+				h, took, err := Round(t.Context(), o, Draw(o.Seed, o.Nodes, length), length)
+				if h != nil {
+					t.Logf("%s; agreed %v after", h.Summary(), took.Round(time.Millisecond))
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+			})
+		}
+	})
+}
+
 // A calm fleet agrees, and goes by its rights.
 func TestCalm(t *testing.T) {
 	h, _, err := Round(context.Background(), options(t, 3), nil, 0)
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -34,6 +34,7 @@
 	Period  time.Duration // of the members' probes,
 	Term    time.Duration // and of a right
 	Silent  bool          // the nodes do not talk
+	Clocks  bool          // each node's clocks are off in their own way; Program is a Skewed one
 	Leases  time.Duration // term of leases, by which nodes do a duty at a witness, watch discovery and try what is out; 0 for none
 	// Direct has nodes call each other without ways between, for fleets that have too many; no faults of ways then. The first
 	// Deaf of them call and are called at addresses where nobody is.
@@ -190,7 +191,7 @@
 		return err
 	}
 	var b strings.Builder
-	fmt.Fprintf(&b, "name: %s\nlisten: %s\nperiod: %v\nterm: %v\ndrift: 0.02\n", n.name, n.talk, f.o.Period, f.o.Term)
+	fmt.Fprintf(&b, "name: %s\nlisten: %s\nperiod: %v\nterm: %v\ndrift: %v\n", n.name, n.talk, f.o.Period, f.o.Term, drift/1000.0)
 	fmt.Fprintf(&b, "voters: [")
 	for i := range min(f.o.Nodes, 5) / 2 * 2 {
 		fmt.Fprintf(&b, "%s, ", nodeName(f.o.Nodes-2-i))
@@ -230,6 +231,9 @@
 func (f *Fleet) run(ctx context.Context, n *node) error {
 	cmd := exec.Command(f.o.Program)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+filepath.Join(n.folder, "config.json"), "ROUTER_STATE="+filepath.Join(n.folder, "state"), "ROUTER_NAME="+n.name)
+	if f.o.Clocks {
+		cmd.Env = append(cmd.Env, clock(f.o.Seed, n.i))
+	}
 	if !f.o.Silent {
 		cmd.Env = append(cmd.Env, "CORALYARD_PEERS="+filepath.Join(n.folder, "peers.yaml"))
 	}
