--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 )
@@ -43,6 +44,7 @@
 	At, For time.Duration
 	Kind    Kind
 	A, B    int
+	AtActor bool // A is whoever acts by the witness's lease when the step begins
 }
 
 func (s Step) String() string {
@@ -68,6 +70,15 @@
 	}
 }
 
+// DrawLeases is Draw with every other fault aimed at whoever acts by a lease then.
+func DrawLeases(seed uint64, nodes int, length time.Duration) []Step {
+	steps := Draw(seed, nodes, length)
+	for i := range steps {
+		steps[i].AtActor = i%2 == 0
+	}
+	return steps
+}
+
 // ways are those that a step concerns.
 func (s Step) ways(nodes int) (all [][2]int) {
 	for i := range nodes {
@@ -117,6 +128,7 @@
 	if err := f.copyFolders(); err != nil {
 		return err
 	}
+	steps = slices.Clone(steps)
 	begun := time.Now()
 	type edge struct {
 		at   time.Duration
@@ -144,6 +156,11 @@
 			return ctx.Err()
 		}
 		active[e.step] = !e.ends
+		if steps[e.step].AtActor && !e.ends && f.witness != nil {
+			if i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.name == f.witness.actor() }); i >= 0 {
+				steps[e.step].A = i
+			}
+		}
 		s := steps[e.step]
 		f.illness(steps, active, s.Kind == Sever && !e.ends)
 		if err := f.toProcess(ctx, s, e.ends, steps, active); err != nil {
@@ -336,19 +353,19 @@
 
 // votersApart tells in what the voters of leases differ, nothing if all vote and know the same voters.
 func (f *Fleet) votersApart(ctx context.Context) string {
-	first := ""
-	for i := f.o.Nodes - min(f.o.Nodes, 5); i < f.o.Nodes; i++ {
+	first, voters := "", min((f.o.Nodes-1)/2*2+1, 5)
+	for i := f.o.Nodes - voters; i < f.o.Nodes; i++ {
 		st, err := f.Look(ctx, i)
 		if err != nil {
 			return err.Error()
 		}
-		if st.Leases == nil || st.Leases.Standing != "in" || len(st.Leases.Voters) != 5 {
+		if st.Leases == nil || st.Leases.Standing != "in" || len(st.Leases.Voters) != voters {
 			return fmt.Sprintf("n%d as a voter: %+v", i, st.Leases)
 		}
-		if voters := fmt.Sprint(st.Leases.Voters); first == "" {
-			first = voters
-		} else if first != voters {
-			return fmt.Sprintf("n%d knows the voters %s, another %s", i, voters, first)
+		if known := fmt.Sprint(st.Leases.Voters); first == "" {
+			first = known
+		} else if first != known {
+			return fmt.Sprintf("n%d knows the voters %s, another %s", i, known, first)
 		}
 	}
 	return ""
--- a/internal/faults/witness.go
+++ b/internal/faults/witness.go
@@ -28,6 +28,7 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	last    uint64
+	by      string // whose act came last
 	acts    []act
 	refused []act
 }
@@ -66,7 +67,7 @@
 		rw.WriteHeader(http.StatusConflict)
 		return
 	}
-	w.last = a.token
+	w.last, w.by = a.token, a.node
 	part := 0.9 * w.rng.Float64()
 	if w.rng.IntN(longOnes) == 0 { // far longer than it may, unless its caller gives it up
 		part = 20
@@ -95,9 +96,9 @@
 // meet is how long two acts may seem to last at once where neither process was stopped: a caller's word that it has given up takes its time.
 const meet = 20 * time.Millisecond
 
-// check holds the acts against the rules. A process that was stopped between looking and acting acts late: what the fence let
-// through of that is told by resumed, which says whether it had just gone on then.
-func (w *witness) check(slack time.Duration, resumed func(node string, at time.Time) bool) error {
+// check holds the acts against the rules. A process that was stopped between looking and acting acts late, and one that was stopped during
+// an act can't give it up: what the fence let through of that is told by stood, which says whether a process was stopped then.
+func (w *witness) check(slack time.Duration, stood func(node string, from, to time.Time) bool) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var errs []error
@@ -111,19 +112,26 @@
 				first, second = second, first
 			}
 			both := min(first.end.Sub(second.began), second.end.Sub(first.began))
-			if both > meet+slack && !resumed(first.node, first.began) {
+			if both > meet+slack && !stood(first.node, first.began, first.end) {
 				errs = append(errs, fmt.Errorf("%w: %s by token %d and %s by %d, for %v", ErrTwoHolders, first.node, first.token, second.node, second.token, both))
 			}
 		}
 	}
 	for _, a := range w.refused {
-		if !resumed(a.node, a.began) {
+		if !stood(a.node, a.began, a.began) {
 			errs = append(errs, fmt.Errorf("%w: %s by token %d", ErrTokenBack, a.node, a.token))
 		}
 	}
 	return errors.Join(errs[:min(len(errs), 4)]...)
 }
 
+// actor is the node whose act came last.
+func (w *witness) actor() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.by
+}
+
 // count is how many acts there were.
 func (w *witness) count() int {
 	w.mu.Lock()
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -29,6 +29,7 @@
 	lists    []string
 	more     chan struct{} // closed when lists grows
 	watches  int
+	open     int // of them
 	refused  int
 	refuse   int // so many more posts are answered 503
 	notices  []Notice
@@ -71,6 +72,12 @@
 func (d *Discovery) watch(w http.ResponseWriter, req *http.Request) {
 	d.mu.Lock()
 	d.watches++
+	d.open++
+	defer func() {
+		d.mu.Lock()
+		d.open--
+		d.mu.Unlock()
+	}()
 	cut := d.cut
 	if len(d.lists) == 0 { // the first line tells what has changed since, be it nothing
 		after, _ := strconv.Atoi(req.URL.Query().Get("after"))
@@ -157,6 +164,13 @@
 	return d.watches
 }
 
+// Open counts the watches that are open.
+func (d *Discovery) Open() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.open
+}
+
 // Refused counts the posts that were answered 503.
 func (d *Discovery) Refused() int {
 	d.mu.Lock()
--- a/peers/lease/folder/folder.go
+++ b/peers/lease/folder/folder.go
@@ -139,7 +139,11 @@
 			if err := put(b, snapshot, w.Snapshot); err != nil {
 				return err
 			}
-			if err := cut(log, nil, index(w.Snapshot.GetMetadata().GetIndex()+1)); err != nil {
+			to := index(w.Snapshot.GetMetadata().GetIndex() + 1)
+			if w.Whole {
+				to = nil
+			}
+			if err := cut(log, nil, to); err != nil {
 				return err
 			}
 		}
--- a/peers/lease/voter.go
+++ b/peers/lease/voter.go
@@ -52,6 +52,7 @@
 	Entries  []*raftpb.Entry
 	Sync     bool // a vote or an entry is in it, which is a promise
 	Identity *Identity
+	Whole    bool // Snapshot is another voter's, and takes the place of all entries
 	Reset    bool // first all that was written before is dropped: it is another voter's
 }
 
@@ -294,7 +295,7 @@
 		}
 	}
 	if !raft.IsEmptySnap(rd.Snapshot) {
-		out.Write.Snapshot = rd.Snapshot
+		out.Write.Snapshot, out.Write.Whole = rd.Snapshot, true
 		if err := v.storage.ApplySnapshot(rd.Snapshot); err != nil {
 			return out, false, fmt.Errorf("lease: %w", err)
 		}
--- a/peers/settings_test.go
+++ b/peers/settings_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 )
 
 const good = "name: n1\nlisten: 127.0.0.1:7401\nseeds: [127.0.0.1:7402]\nvoters: [n1, n2, n3]\n"
@@ -31,6 +32,11 @@
 		{strings.Replace(good, "listen: 127.0.0.1:7401\n", "", 1), "peers.yaml:1: listen is missing"},
 		{strings.Replace(good, "name: n1", "name: n 1", 1), `peers.yaml:1: name "n 1": 1 to 64 visible`},
 		{good + "addresses: {n2: x}\n", `peers.yaml:5: addresses "x": a host and a port`},
+		{good + "leases: {discovery: all}\n", `peers.yaml:5: discovery "all": "fleet" or "zone"`},
+		{good + "leases: {discovery: zone}\n", "peers.yaml:5: discovery \"zone\": this node's zone is not given"},
+		{good + "leases:\n  duties: [{name: a, url: x, every: 1s}]\n", `peers.yaml:6: duty "a": url "x": an http or https URL`},
+		{good + "leases:\n  duties: [{name: a, url: \"http://h/\"}]\n", `peers.yaml:6: duty "a": every is missing`},
+		{good + "leases:\n  term: 1s\n  duties:\n    - {name: a, url: \"http://h/\", every: 1s, within: 900ms}\n", `peers.yaml:8: within "900ms": a time from 1ms to 500ms`},
 		{strings.Repeat("#", maxFile+1), "peers.yaml:1: holds"},
 	} {
 		if _, err := Parse("peers.yaml", []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
@@ -39,6 +45,22 @@
 	}
 }
 
+// The part on leases that is shipped as an example is read.
+func TestParseLeases(t *testing.T) {
+	text, err := os.ReadFile("../deploy/peers.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, example, ok := strings.Cut(string(text), "\n# leases:\n")
+	if !ok {
+		t.Fatal("no example")
+	}
+	f, err := Parse("peers.yaml", []byte(string(text)+"leases:"+strings.ReplaceAll("\n"+example, "\n# ", "\n")))
+	if err != nil || f.Leases == nil || f.Leases.Discovery != Fleet || !f.Leases.Trials || len(f.Leases.Duties) != 1 || f.Leases.Duties[0].Every != time.Minute {
+		t.Fatalf("%+v, %v", f, err)
+	}
+}
+
 // No file ends the reader.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(good))
