--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -123,14 +123,31 @@
 			x.Relay = d
 		}
 	}
-	d, err := daemon.OpenWith(cfg, log, x)
-	if err != nil {
-		return err
-	}
 	life, end := context.WithCancel(ctx)
 	var beside sync.WaitGroup
 	defer beside.Wait() // before what they use is closed
 	defer end()
+	if talk != nil {
+		// What is still sent once the node has been told to leave goes by its rights as well.
+		talking, hush := context.WithCancel(context.WithoutCancel(ctx))
+		defer hush()
+		beside.Go(func() { talk.Run(talking) })
+		if c := talk.Copies(); c != nil {
+			x.Copies = c
+			if err := c.Prepare(ctx); err != nil {
+				return err
+			}
+		}
+	}
+	d, err := daemon.OpenWith(cfg, log, x)
+	if err != nil {
+		return err
+	}
+	if x.Copies != nil {
+		if err := talk.Copies().Serve(d.Engine()); err != nil {
+			return errors.Join(err, d.Close())
+		}
+	}
 	if again != nil {
 		if err := again.Start(d.Engine()); err != nil {
 			return errors.Join(err, d.Close())
@@ -140,20 +157,31 @@
 	if partners != nil {
 		beside.Go(func() { partners.Run(life, d.Engine()) })
 	}
-	if talk != nil {
-		// What is still sent once the node has been told to leave goes by its rights as well.
-		talking, hush := context.WithCancel(context.WithoutCancel(ctx))
-		defer hush()
-		beside.Go(func() { talk.Run(talking) })
-	}
 	done := make(chan struct{})
 	var reloads sync.WaitGroup
 	reloads.Go(func() { reload(log, hup, done, d, again) })
 	defer reloads.Wait()
 	defer close(done)
-	return d.Run(ctx)
+	if x.Copies == nil {
+		return d.Run(ctx)
+	}
+	// A journal that is past is not gone on with: the next start puts it aside.
+	running, ended := context.WithCancel(ctx)
+	defer ended()
+	beside.Go(func() {
+		select {
+		case err := <-talk.Copies().Fatal():
+			log.Error("coralyard ends at once", "err", err)
+			os.Exit(exitPast) // what it would still send is not its own any more
+		case <-running.Done():
+		}
+	})
+	return d.Run(running)
 }
 
+// exitPast is the status of a node whose journal others have gone on with.
+const exitPast = 9
+
 // openRecovery opens what keeps undelivered messages, if the operators have named a file for it. A store that can't be
 // had stops no delivery; a file of rules that can't be taken stops the start, as the configuration does.
 func openRecovery(cfg daemon.Config, log *slog.Logger) (*recovery.Service, error) {
--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -11,10 +11,10 @@
 // errNoResult is of a message that its carrier tells nothing of: it may have run.
 var errNoResult = errors.New("the carrier does not tell what became of it")
 
-// attempt names a call that is out, by the journal's number of its message: an id may come again while a call
+// attempt names a call that is out, by the number of its message: an id may come again while a call
 // under it is still out.
 type attempt struct {
-	seq uint64
+	num uint64
 	n   int
 }
 
@@ -75,10 +75,10 @@
 		if ominous {
 			kind = recNotRun
 		}
-		n.journal.add(outcomeRecord(kind, e.seq, e.n))
+		m.home.add(outcomeRecord(kind, m.seq, e.n))
 	default:
 		if ominous {
-			n.journal.add(outcomeRecord(recFailed, e.seq, e.n))
+			m.home.add(outcomeRecord(recFailed, m.seq, e.n))
 		}
 	}
 	switch {
@@ -103,17 +103,17 @@
 		e = NewEndpoint(a.Endpoint, "")
 		e.Close()
 	}
-	return &outgoing{carrier: n.fronts[n.journal.live[seqOf(a.ID)].front].Carrier, endpoint: e}
+	return &outgoing{carrier: n.fronts[n.message(a.ID).front].Carrier, endpoint: e}
 }
 
 // leg journals an attempt; its call is made once that is written.
 func (n *Engine) leg(a choice.Send, e *Endpoint) leg {
-	p := n.journal.live[seqOf(a.ID)]
-	name, now, endpoint := attempt{p.seq, len(p.sends)}, time.Now(), ""
+	p := n.message(a.ID)
+	name, now, endpoint := attempt{p.num, len(p.sends)}, time.Now(), ""
 	if n.cfg.Keeper != nil {
 		endpoint = e.ID
 	}
-	n.journal.add(attemptRecord(p.seq, now, e.zone, endpoint))
+	p.home.add(attemptRecord(p.seq, now, e.zone, endpoint))
 	out := Attempt{ID: p.id, Key: p.key, Class: p.class, Dest: p.dest, Ref: p.ref(), Body: p.body, Endpoint: e,
 		NotPast: n.wall(a.NotPast), Fresh: a.Fresh, Number: name.n}
 	if a.BeginBy > 0 {
--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -161,7 +161,7 @@
 			}
 		}
 	}
-	n.acts = append(n.acts, func() { q.reply <- all })
+	n.acts = append(n.acts, act{do: func() { q.reply <- all }})
 }
 
 // forget ends all that the engine has of a message.
@@ -174,7 +174,7 @@
 		*n.count(p)--
 	}
 	delete(n.messages, name)
-	n.journal.add(record(recOver, p.seq))
+	p.home.add(record(recOver, p.seq))
 }
 
 // done ends a message by what its partner answered.
@@ -201,7 +201,7 @@
 	owed := wanted && (f.Sink == nil || e.state != Delivered)
 	if p.keep || (owed && len(waiters) == 0) {
 		n.held--
-		n.journal.add(endedRecord(p.seq, e))
+		p.home.add(endedRecord(p.seq, e))
 	} else {
 		n.forget(p)
 		p.ended = &e
@@ -211,14 +211,14 @@
 	}
 	end := newEnd(p)
 	end.Reply = reply
-	n.acts = append(n.acts, func() {
+	n.acts = append(n.acts, act{do: func() {
 		for _, w := range waiters {
 			w <- end
 		}
 		if len(waiters) == 0 {
 			f.owed.put(end)
 		}
-	})
+	}})
 }
 
 // note tells the keeper of an end before it is written.
@@ -253,18 +253,18 @@
 // end gives a message the final answer that the module has decided on: to its client if that still waits to hear
 // whether it is taken on, and by its end otherwise.
 func (n *Engine) end(id string, e ending, fresh newcomers) {
-	p := n.journal.live[seqOf(id)]
+	p := n.message(id)
 	if p == nil || p.ended != nil {
 		return
 	}
-	if all, ok := fresh[p.seq]; ok {
-		delete(fresh, p.seq)
+	if all, ok := fresh[p.num]; ok {
+		delete(fresh, p.num)
 		n.forget(p)
 		reply := Answer{Refused: true, After: e.after}
 		if e.state == Failed {
 			reply = Answer{Failed: "the message failed"}
 		}
-		n.acts = append(n.acts, func() {
+		n.acts = append(n.acts, act{do: func() {
 			for _, a := range all {
 				if a.end != nil {
 					a.end <- End{ID: p.id, State: e.state, After: e.after}
@@ -272,7 +272,7 @@
 					a.reply <- reply
 				}
 			}
-		})
+		}})
 		return
 	}
 	n.finish(p, e, nil, true)
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -49,6 +49,8 @@
 	Recorder Recorder
 	// Shared is where nodes that talk tell each other what they see; nil where they don't talk.
 	Shared Shared
+	// Copies holds the journal on further nodes; nil for on none.
+	Copies Copies
 }
 
 // Message is one piece of work as a front hands it in.
@@ -109,7 +111,10 @@
 	again     int                   // further lives
 	lost      []Lost                // for the keeper, before the next flush
 	late      []Ref                 // likewise
-	acts      []func()              // what the records that are not yet written guard, in order
+	acts      []act                 // what the records that are not yet written guard, in order
+	hold      holding               // with Copies
+	inherited map[uint64]*journal   // by the base of their messages' numbers
+	homes     uint64                // how many were ever inherited
 	wakeAt    time.Duration         // of the module; 0 none
 	calls     sync.WaitGroup
 	jobs      chan func()     // to a worker that is idle
@@ -172,7 +177,7 @@
 		cfg: cfg, log: cfg.Log, sender: choice.New(cfg.Settings, seed(cfg.Seed)), start: time.Now(), batchers: batchers,
 		fronts: map[string]*front{}, events: make(chan any, eventQueue), stopping: make(chan struct{}),
 		over: make(chan struct{}), messages: map[string]*past{}, out: map[attempt]outCall{}, eps: map[string]*Endpoint{},
-		waits: map[int]*atomic.Int64{}, jobs: make(chan func()), quit: make(chan struct{}),
+		waits: map[int]*atomic.Int64{}, inherited: map[uint64]*journal{}, jobs: make(chan func()), quit: make(chan struct{}),
 	}
 	for _, f := range fronts {
 		if n.fronts[f.Name] != nil || f.Carrier == nil || len(f.Name) > maxWord {
@@ -185,6 +190,7 @@
 		return nil, err
 	}
 	n.journal = j
+	j.copied = cfg.Copies != nil
 	if err := n.check(); err != nil {
 		n.closeAll()
 		return nil, err
@@ -236,7 +242,9 @@
 		for _, e := range n.eps {
 			releaseAll(e.claimedAddrs())
 		}
-		err = n.journal.close()
+		for _, j := range n.journals() {
+			err = errors.Join(err, j.close())
+		}
 	})
 	return err
 }
@@ -289,6 +297,9 @@
 	if n.cfg.Members != nil {
 		parts.Go(func() { n.cfg.Members.Watch(life, func(l List) { n.tell(life, l) }) })
 	}
+	if n.cfg.Copies != nil {
+		parts.Go(func() { n.cfg.Copies.Watch(life, func(c Covered) { n.tell(life, c) }) })
+	}
 	if n.cfg.Shared != nil {
 		parts.Go(func() { n.cfg.Shared.Watch(life, func(news News) { n.tell(life, news) }) })
 	}
--- /dev/null
+++ b/delivery/held.go
@@ -0,0 +1,328 @@
+package delivery
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"starlingusher/choice"
+)
+
+// numberBits is how much of a message's number is its place in its journal; above it stands which of the engine's journals that is.
+const (
+	numberBits   = 48
+	mostInherits = 1 << 12
+)
+
+// ErrNotInherited is wrapped by what Inherit says.
+var ErrNotInherited = errors.New("the journal can't be inherited")
+
+// unheld is a batch of new messages whose records are on their way to further nodes. The decisions have not heard of them.
+type unheld struct {
+	ticket uint64
+	events []choice.Event
+	fresh  newcomers
+}
+
+// guarded are acts that wait until the records that guard them are held.
+type guarded struct {
+	ticket uint64
+	acts   []act
+	byes   []chan struct{}
+}
+
+// act is something that the records before it guard. Instead is done where those can't be held, nil for the act itself.
+type act struct {
+	do, instead func()
+}
+
+// holding is what an engine with Copies keeps.
+type holding struct {
+	ticket  uint64 // of the last that went out
+	covered uint64
+	short   uint64 // up to here what went out is given up as not held
+	unheld  []*unheld
+	guards  []guarded
+}
+
+// inherit asks for a journal that was another's.
+type inherit struct {
+	dir   string
+	stale bool
+	reply chan error
+}
+
+// message is one by its name, and byNumber by its number; nil if there is none.
+func (n *Engine) message(name string) *past { return n.byNumber(numOf(name)) }
+
+func (n *Engine) byNumber(num uint64) *past {
+	if home := num >> numberBits; home > 0 {
+		if j := n.inherited[home<<numberBits]; j != nil {
+			return j.live[num&(1<<numberBits-1)]
+		}
+		return nil
+	}
+	return n.journal.live[num]
+}
+
+// journals are all, the engine's own first.
+func (n *Engine) journals() []*journal {
+	all := []*journal{n.journal}
+	for _, base := range slices.Sorted(maps.Keys(n.inherited)) {
+		all = append(all, n.inherited[base])
+	}
+	return all
+}
+
+// write has all journals written, and tells the copies what is new.
+func (n *Engine) write() error {
+	if n.cfg.Copies == nil {
+		return n.journal.flush()
+	}
+	var errs []error
+	var news []Chunk
+	for _, j := range n.journals() {
+		errs = append(errs, j.flush())
+		news = append(news, j.news...)
+		j.news = nil
+	}
+	if len(news) > 0 {
+		n.hold.ticket++
+		n.cfg.Copies.Append(n.hold.ticket, news)
+	}
+	return errors.Join(errs...)
+}
+
+// guard does acts once all that was written so far is held.
+func (n *Engine) guard(acts []act, byes []chan struct{}) {
+	if n.cfg.Copies == nil || n.hold.ticket <= n.hold.covered {
+		for _, a := range acts {
+			a.do()
+		}
+		for _, b := range byes {
+			close(b)
+		}
+		return
+	}
+	n.hold.guards = append(n.hold.guards, guarded{n.hold.ticket, slices.Clone(acts), slices.Clone(byes)})
+}
+
+// await keeps new messages from the decisions until they are held, and returns what the decisions may hear of at once.
+func (n *Engine) await(events []choice.Event, fresh newcomers) ([]choice.Event, newcomers) {
+	if n.cfg.Copies == nil || len(fresh) == 0 || n.hold.ticket <= n.hold.covered {
+		return events, fresh
+	}
+	u := &unheld{ticket: n.hold.ticket, fresh: fresh}
+	var rest []choice.Event
+	for _, e := range events {
+		id := ""
+		switch e := e.(type) {
+		case choice.Arrived:
+			id = e.ID
+		case choice.Resumed:
+			id = e.ID
+		}
+		if _, ok := fresh[numOf(id)]; !ok {
+			rest = append(rest, e)
+			continue
+		}
+		n.message(id).unheld = u
+		u.events = append(u.events, e)
+	}
+	n.hold.unheld = append(n.hold.unheld, u)
+	return rest, newcomers{}
+}
+
+// covered goes on with what waited for records that are held now, or are given up.
+func (n *Engine) covered(ctx context.Context, c Covered) {
+	n.hold.covered = max(n.hold.covered, c.Ticket)
+	for len(n.hold.guards) > 0 && n.hold.guards[0].ticket <= n.hold.covered {
+		g := n.hold.guards[0]
+		n.hold.guards = n.hold.guards[1:]
+		for _, a := range g.acts {
+			if c.Short && a.instead != nil {
+				a.instead()
+			} else {
+				a.do()
+			}
+		}
+		for _, b := range g.byes {
+			close(b)
+		}
+	}
+	for len(n.hold.unheld) > 0 && n.hold.unheld[0].ticket <= n.hold.covered {
+		u := n.hold.unheld[0]
+		n.hold.unheld = n.hold.unheld[1:]
+		for num := range u.fresh {
+			if p := n.byNumber(num); p != nil {
+				p.unheld = nil
+			}
+		}
+		if c.Short {
+			n.turnBack(u)
+			continue
+		}
+		n.step(ctx, u.events, u.fresh)
+	}
+}
+
+// turnBack refuses messages that no further node holds. The decisions have not heard of them.
+func (n *Engine) turnBack(u *unheld) {
+	for num, all := range u.fresh {
+		p := n.byNumber(num)
+		if p == nil {
+			continue
+		}
+		answer := n.turnAway(all[0], TurnedByCopies)
+		n.forget(p)
+		for _, a := range all {
+			a.answer(answer)
+		}
+	}
+}
+
+// notBegun ends a call that was not made: its attempt's record is not held.
+func (n *Engine) notBegun(o *outgoing) {
+	for _, l := range o.legs {
+		n.out[l.attempt] = outCall{l.m, func() {}}
+	}
+	n.work(func() {
+		for i := range o.legs {
+			n.events <- o.called(i, time.Now(), Result{Outcome: choice.Stale, NotRun: true, Err: errNotHeld})
+		}
+	})
+}
+
+var errNotHeld = errors.New("the attempt's record is not held by further nodes")
+
+// Inherit takes on what another's journal owes, and goes on with it in its folder: as a restart there would, but on this engine's
+// decisions. Of a stale journal, which may lack what was done last, each message that may not simply be repeated counts as one that may have run. It returns once that is held, with Copies. A message whose id the engine has already in the same front is passed over and logged. It may be
+// called by many goroutines at a time while the engine runs.
+func (n *Engine) Inherit(ctx context.Context, dir string, stale bool) error {
+	i := inherit{dir: dir, stale: stale, reply: make(chan error, 1)}
+	select {
+	case n.events <- i:
+	case <-n.over:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case err := <-i.reply:
+		return err
+	case <-n.over:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (n *Engine) takeOver(i inherit) []choice.Event {
+	j, err := openJournal(i.dir, n.cfg.DiskMB)
+	if err != nil {
+		i.reply <- fmt.Errorf("%w: %w", ErrNotInherited, err)
+		return nil
+	}
+	if len(n.inherited) >= mostInherits {
+		i.reply <- errors.Join(fmt.Errorf("%w: %d were already", ErrNotInherited, mostInherits), j.close())
+		return nil
+	}
+	n.homes++
+	j.base, j.copied = n.homes<<numberBits, n.cfg.Copies != nil
+	n.inherited[j.base] = j
+	var events []choice.Event
+	for _, p := range slices.SortedFunc(maps.Values(j.live), func(a, b *past) int { return cmp.Compare(a.seq, b.seq) }) {
+		j.own(p)
+		f := n.fronts[p.front]
+		if f == nil || p.class >= len(n.cfg.Settings.Classes) || n.messages[ref(p.front, p.id)] != nil {
+			n.log.Error("a message of a journal that is inherited is passed over: its front or class is not known here, or its id is in use",
+				"journal", i.dir, "front", p.front, "id", p.id, "class", p.class)
+			continue
+		}
+		n.messages[ref(p.front, p.id)] = p
+		if p.ended != nil {
+			if f.Sink != nil {
+				f.owed.put(newEnd(p))
+			}
+			continue
+		}
+		*n.count(p)++
+		if i.stale && n.cfg.Settings.Classes[p.class].Effect != choice.Safe {
+			j.add(attemptRecord(p.seq, time.Now(), 0, ""))
+		}
+		if n.cfg.Recorder != nil {
+			n.cfg.Recorder.Handed(Handed{Name: p.name(), Front: p.front, ID: p.id, Came: n.now()})
+		}
+		events = append(events, n.resumed(p))
+	}
+	for _, w := range j.running(time.Now()) {
+		until := j.waits[w]
+		n.journal.wait(w, until)
+		events = append(events, choice.Waits{Dest: w.dest, Endpoint: w.endpoint, Until: n.at(until)})
+	}
+	n.log.Info("a journal is inherited", slog.String("journal", i.dir), "messages", len(j.live))
+	n.acts = append(n.acts, act{do: func() { i.reply <- nil }})
+	return events
+}
+
+// Done gives back journals that were inherited and owe nothing more, and returns their folders. It is asked from outside the loop.
+func (n *Engine) Done(ctx context.Context) ([]string, error) {
+	reply := make(chan []string, 1)
+	select {
+	case n.events <- emptied(reply):
+	case <-n.over:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case all := <-reply:
+		return all, nil
+	case <-n.over:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type emptied chan []string
+
+func (n *Engine) giveBack(reply emptied) {
+	var all []string
+	for base, j := range n.inherited {
+		if len(j.live) > 0 || len(j.pending) > 0 {
+			continue
+		}
+		if err := j.close(); err != nil {
+			n.log.Error("a journal that was inherited can't be closed", "journal", j.dir, "err", err)
+		}
+		delete(n.inherited, base)
+		all = append(all, j.dir)
+	}
+	reply <- all
+}
+
+// Copy has all journals tell their streams anew: for a node that is to hold them and has nothing of them yet.
+func (n *Engine) Copy(stream string) {
+	select {
+	case n.events <- retold(stream):
+	case <-n.over:
+	}
+}
+
+type retold string
+
+func (n *Engine) copyAgain(stream string) {
+	for _, j := range n.journals() {
+		if j.dir == stream && j.copied {
+			if err := j.anew(); err != nil {
+				n.log.Error("a journal can't be told anew", "journal", stream, "err", err)
+			}
+		}
+	}
+}
--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 )
 
 // Hand hands a message in for the front of that name, and waits to hear whether it is taken on. Its end goes to the
@@ -71,8 +72,8 @@
 // newcomers are the messages of a batch, with all who handed them in: one id may stand there more than once.
 type newcomers map[uint64][]arrival
 
-func (w newcomers) reply(seq uint64, a Answer) {
-	for _, c := range w[seq] {
+func (w newcomers) reply(num uint64, a Answer) {
+	for _, c := range w[num] {
 		c.answer(a)
 	}
 }
@@ -102,19 +103,25 @@
 	switch {
 	case p != nil && a.end != nil && p.ended != nil: // it has ended before, and says the same again
 		end := newEnd(p)
-		n.acts = append(n.acts, func() { a.end <- end })
+		n.acts = append(n.acts, act{do: func() { a.end <- end }})
+		return nil
+	case p != nil && p.unheld != nil: // nor is this one's
+		if a.end != nil {
+			p.waiters = append(p.waiters, a.end)
+		}
+		p.unheld.fresh[p.num] = append(p.unheld.fresh[p.num], a)
 		return nil
 	case p != nil && a.end != nil:
 		p.waiters = append(p.waiters, a.end)
-		if fresh[p.seq] != nil {
-			fresh[p.seq] = append(fresh[p.seq], a)
+		if fresh[p.num] != nil {
+			fresh[p.num] = append(fresh[p.num], a)
 		}
 		return nil
-	case p != nil && fresh[p.seq] != nil: // its fate is not known yet
-		fresh[p.seq] = append(fresh[p.seq], a)
+	case p != nil && fresh[p.num] != nil: // its fate is not known yet
+		fresh[p.num] = append(fresh[p.num], a)
 		return nil
 	case p != nil: // taken on before: handed in again it has no second effect
-		n.acts = append(n.acts, func() { a.reply <- Answer{} })
+		n.acts = append(n.acts, act{do: func() { a.reply <- Answer{} }})
 		return nil
 	case a.Class < 0 || a.Class >= len(n.cfg.Settings.Classes):
 		a.answer(Answer{Failed: "unknown class"})
@@ -133,6 +140,12 @@
 		a.answer(n.turnAway(a, TurnedByRoom))
 		return nil
 	}
+	if n.cfg.Copies != nil {
+		if after, ok := n.cfg.Copies.Takes(); !ok {
+			a.answer(n.turnAwayFor(a, TurnedByCopies, after))
+			return nil
+		}
+	}
 	p = &past{id: a.ID, key: a.Key, class: a.Class, tenant: a.Tenant, dest: a.Dest, body: a.Body,
 		deadline: a.Came.Add(a.Life), front: a.front.Name, keep: a.Keep}
 	if a.life != nil {
@@ -148,7 +161,7 @@
 	}
 	n.messages[name] = p
 	*n.count(p)++
-	fresh[p.seq] = []arrival{a}
+	fresh[p.num] = []arrival{a}
 	if n.cfg.Recorder != nil {
 		n.cfg.Recorder.Handed(Handed{Name: p.name(), Front: p.front, ID: p.id, Came: n.at(a.Came)})
 	}
@@ -157,7 +170,10 @@
 
 // turnAway refuses a message for want of room, before the module has heard of it.
 func (n *Engine) turnAway(a arrival, why string) Answer {
-	after := n.sender.StayAway(a.Dest)
+	return n.turnAwayFor(a, why, n.sender.StayAway(a.Dest))
+}
+
+func (n *Engine) turnAwayFor(a arrival, why string, after time.Duration) Answer {
 	if n.cfg.Recorder != nil {
 		n.cfg.Recorder.Turned(Turned{At: n.now(), Came: n.at(a.Came), Front: a.front.Name, ID: a.ID, Class: a.Class,
 			Tenant: a.Tenant, Dest: a.Dest, After: after, Why: why})
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -33,6 +33,7 @@
 	recTurnedAway                 // an attempt did not run, and its destination is well
 	recAgain                      // a further life was taken on; older builds pass it over
 	recWait                       // a destination, or a route apart, asked to be left alone; likewise
+	recChain                      // how far the chain of copies had come before the records that follow; likewise
 )
 
 // MaxBody is how many bytes a message's body holds at most.
@@ -59,7 +60,9 @@
 
 // past is all that the journal knows of a message that still owes something.
 type past struct {
-	seq      uint64
+	seq      uint64   // in its journal
+	num      uint64   // among all that the engine has: seq, for its own journal
+	home     *journal // that its records go to
 	id, key  string
 	class    int
 	tenant   int // as in Message
@@ -77,6 +80,7 @@
 	mayZone int
 
 	// Of this process only.
+	unheld  *unheld    // the batch that it came with, while its record is on its way to further nodes
 	waiters []chan End // of those who handed it in and wait for its end
 	lastErr error      // what its last attempt met
 	wait    time.Time  // until when its destination asked to be left alone, as its attempts were told
@@ -120,15 +124,15 @@
 }
 
 // name is what the module calls the message. Ids may come again; numbers don't.
-func (p *past) name() string { return strconv.FormatUint(p.seq, 10) }
+func (p *past) name() string { return strconv.FormatUint(p.num, 10) }
 
-// seqOf reads a name; no message has number 0.
-func seqOf(name string) uint64 {
-	seq, err := strconv.ParseUint(name, 10, 64)
+// numOf reads a name; no message has number 0.
+func numOf(name string) uint64 {
+	num, err := strconv.ParseUint(name, 10, 64)
 	if err != nil {
 		return 0
 	}
-	return seq
+	return num
 }
 
 // size is about the room that a message takes in the journal.
@@ -139,6 +143,7 @@
 // journal appends records and keeps what is live, so that it can write the file anew.
 type journal struct {
 	dir     string
+	base    uint64 // of its messages' numbers in the engine
 	budget  int64
 	lock    *os.File // the folder itself
 	f       *os.File
@@ -151,6 +156,11 @@
 	next    uint64
 	broken  bool // the file lacks records of what is live; only a new file will do
 	retryAt time.Time
+
+	// Where further nodes hold what is written here: what they are yet to be told, and how far that goes. See stream.go.
+	copied bool
+	chain  Chain
+	news   []Chunk
 }
 
 // ErrInUse says that another engine, in this process or another one, has the state folder.
@@ -203,6 +213,7 @@
 		if err != nil {
 			break // the end, or a torn tail: what it would have guarded was not done
 		}
+		j.follow(payload)
 		j.apply(payload)
 		j.written += int64(recordHead + len(payload))
 	}
@@ -264,7 +275,7 @@
 
 // message reads what all records begin with that take a message on; messageRecord writes it.
 func (f *fields) message(seq uint64) *past {
-	return &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
+	return &past{seq: seq, num: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
 		deadline: f.time(), body: f.bytes()}
 }
 
@@ -287,6 +298,9 @@
 func (j *journal) apply(payload []byte) {
 	f := &fields{b: payload[1:]}
 	seq := f.number()
+	if payload[0] == recChain {
+		return
+	}
 	if payload[0] == recWait {
 		w := waiter{dest: int(f.number()), endpoint: string(f.bytes())}
 		if until := f.time(); !f.bad && until.After(j.waits[w]) {
@@ -310,7 +324,7 @@
 			p.tenant = int(f.number())
 		}
 		if !f.bad {
-			j.live[seq] = p
+			j.live[seq] = j.own(p)
 			j.held += p.size()
 		}
 	case recAgain:
@@ -323,7 +337,7 @@
 			p.tenant = int(f.number())
 		}
 		if !f.bad {
-			j.live[seq] = p
+			j.live[seq] = j.own(p)
 			j.held += p.size()
 			j.lent += p.size()
 		}
@@ -366,6 +380,12 @@
 	}
 }
 
+// own makes a message one of this journal's.
+func (j *journal) own(p *past) *past {
+	p.num, p.home = j.base|p.seq, j
+	return p
+}
+
 // add queues a record for the next flush, and brings what is live up to date.
 func (j *journal) add(payload []byte) {
 	j.pending = appendRecord(j.pending, payload)
@@ -512,6 +532,7 @@
 		return fmt.Errorf("journal: %w", errors.Join(err, j.rewind()))
 	}
 	j.written = after
+	j.tell(j.pending)
 	j.pending = j.pending[:0]
 	return nil
 }
@@ -526,7 +547,11 @@
 	if time.Now().Before(j.retryAt) {
 		return errJournalDown
 	}
+	chain, news := j.chain, len(j.news)
 	defer func() {
+		if err != nil {
+			j.chain, j.news = chain, j.news[:news]
+		}
 		if err != nil { // a full disk should not have all that is live written to it again and again
 			j.pending, j.broken, j.retryAt = nil, true, time.Now().Add(compactPause)
 		}
@@ -566,6 +591,9 @@
 			put(endedRecord(p.seq, *p.ended))
 		}
 	}
+	if err := j.tellAll(w, f, &size); err != nil {
+		return err
+	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
--- a/delivery/journal_test.go
+++ b/delivery/journal_test.go
@@ -68,7 +68,7 @@
 			t.Fatalf("got %+v, want %+v", g, w)
 		}
 		gc, wc := *g, *w
-		gc.body, wc.body = nil, nil
+		gc.body, wc.body, gc.home, wc.home = nil, nil, nil, nil
 		if !reflect.DeepEqual(gc, wc) {
 			t.Errorf("got %+v, want %+v", gc, wc)
 		}
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -94,6 +94,14 @@
 					n.cfg.Shared.Came(p.dest)
 				}
 			}
+		case Covered:
+			n.covered(ctx, e)
+		case inherit:
+			events = append(events, n.takeOver(e)...)
+		case emptied:
+			n.giveBack(e)
+		case retold:
+			n.copyAgain(string(e))
 		case forsaken:
 			if p := n.messages[e.ref]; p != nil {
 				p.waiters = slices.DeleteFunc(p.waiters, func(c chan End) bool { return c == e.end })
@@ -111,9 +119,9 @@
 			}
 			return false
 		})
-		for seq, all := range fresh {
-			n.forget(n.journal.live[seq])
-			fresh.reply(seq, n.turnAway(all[0], TurnedByDisk))
+		for num, all := range fresh {
+			n.forget(n.byNumber(num))
+			fresh.reply(num, n.turnAway(all[0], TurnedByDisk))
 		}
 		fresh = nil
 	}
@@ -121,6 +129,7 @@
 		n.wakeAt = 0
 		events = append(events, choice.Rang{Tag: "sweep"})
 	}
+	events, fresh = n.await(events, fresh)
 	n.step(ctx, events, fresh)
 }
 
@@ -143,7 +152,7 @@
 		}
 		n.late = nil
 	}
-	return n.journal.flush()
+	return n.write()
 }
 
 // step lets the module decide and carries out what it says, in order, once the records are written that guard
@@ -160,7 +169,7 @@
 		case choice.Send:
 			if !a.Joined {
 				begun := n.newCall(a)
-				n.acts = append(n.acts, func() { n.begin(ctx, begun) })
+				n.acts = append(n.acts, act{func() { n.begin(ctx, begun) }, func() { n.notBegun(begun) }})
 				call = begun
 			}
 			call.legs = append(call.legs, n.leg(a, call.endpoint))
@@ -169,11 +178,11 @@
 		case choice.Fail:
 			n.end(a.ID, ending{state: Failed}, fresh)
 		case choice.Cancel:
-			n.acts = append(n.acts, func() {
-				if c, ok := n.out[attempt{seqOf(a.ID), a.Attempt}]; ok {
+			n.acts = append(n.acts, act{do: func() {
+				if c, ok := n.out[attempt{numOf(a.ID), a.Attempt}]; ok {
 					c.cancel()
 				}
-			})
+			}})
 		case choice.HangUp:
 			for _, f := range n.fronts {
 				f.Carrier.HangUp(a.Endpoint, a.Keep)
@@ -186,19 +195,17 @@
 			n.log.Info(a.Text)
 		}
 	}
-	for seq := range fresh { // not refused, so taken on
-		n.acts = append(n.acts, func() { fresh.reply(seq, Answer{}) })
+	for num := range fresh { // not refused, so taken on; with Copies they are held
+		if n.cfg.Copies != nil {
+			fresh.reply(num, Answer{})
+			continue
+		}
+		n.acts = append(n.acts, act{do: func() { fresh.reply(num, Answer{}) }})
 	}
 	if err := n.flush(); err != nil {
 		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
 		return
 	}
-	for _, act := range n.acts {
-		act()
-	}
-	n.acts = n.acts[:0]
-	for _, b := range n.byes {
-		close(b)
-	}
-	n.byes = n.byes[:0]
+	n.guard(n.acts, n.byes)
+	n.acts, n.byes = n.acts[:0], n.byes[:0]
 }
--- a/delivery/recorder.go
+++ b/delivery/recorder.go
@@ -38,6 +38,8 @@
 	TurnedByRoom = "room"    // the engine holds as many as it may
 	TurnedByDisk = "disk"    // the journal can't have it
 	TurnedByLife = "another" // another life of it is under way
+	// TurnedByCopies says that no further nodes can hold it now.
+	TurnedByCopies = "copies"
 )
 
 // Turned is a message that was turned away before the decisions heard of it. They were asked for After.
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -34,6 +34,9 @@
 	Period  time.Duration // of the members' probes,
 	Term    time.Duration // and of a right
 	Silent  bool          // the nodes do not talk
+	Copies  int           // further nodes that hold each one's journal; 0 for none
+	Audit   bool          // what a folder held that was lost is asked for all the same
+	Inherit time.Duration // after which a node that is not heard is inherited
 	Clocks  bool          // each node's clocks are off in their own way; Program is a Skewed one
 	Leases  time.Duration // term of leases, by which nodes do a duty at a witness, watch discovery and try what is out; 0 for none
 	// Direct has nodes call each other without ways between, for fleets that have too many; no faults of ways then. The first
@@ -64,6 +67,7 @@
 	nodes     []*node
 	ways      [][]*way // from, to
 	witness   *witness
+	restarts  sync.WaitGroup
 	handed    func(id string) // is told of each message that clients hand in; nil for nobody
 }
 
@@ -82,6 +86,9 @@
 	sent         int
 }
 
+// exitPast is the status of a node whose journal others have gone on with.
+const exitPast = 9
+
 func nodeName(i int) string { return fmt.Sprintf("n%d", i) }
 
 // reserve finds addresses that nobody uses: on a loopback address of this fleet's own, where no connection that goes out takes
@@ -118,11 +125,11 @@
 		return err
 	}
 	f.partner, err = standin.NewHTTP(func(c standin.Call) standin.Step {
-		f.history.called(c)
 		step := standin.Step{Delay: 2 * time.Millisecond, Load: map[string]float64{"x0": 0.5, "x1": f.o.Limit}}
 		if f.o.Answer != nil {
 			step = f.o.Answer(c)
 		}
+		f.history.called(c, step.Fault != standin.Limit)
 		if step.Fault == standin.None {
 			f.ends.Delivered(c.ID)
 		}
@@ -224,6 +231,9 @@
 	if f.o.Leases > 0 {
 		fmt.Fprintf(&b, "leases:\n  term: %v\n  discovery: fleet\n  trials: true\n  duties:\n    - {name: witness, url: %q, every: 10ms, within: %v}\n", f.o.Leases, f.witness.url(), f.o.Leases/8)
 	}
+	if f.o.Copies > 0 {
+		fmt.Fprintf(&b, "machine: m%d\ncopies: {k: %d, inherit: %v}\n", n.i, f.o.Copies, f.o.Inherit)
+	}
 	return errors.Join(os.WriteFile(filepath.Join(n.folder, "config.json"), text, 0o600), os.WriteFile(filepath.Join(n.folder, "peers.yaml"), []byte(b.String()), 0o600))
 }
 
@@ -261,9 +271,24 @@
 		n.mu.Lock()
 		unwanted := n.wanted
 		n.mu.Unlock()
-		if unwanted {
-			f.history.process(n.i, crashed, fmt.Sprint(err))
+		if !unwanted {
+			return
+		}
+		if f.o.Copies > 0 && cmd.ProcessState.ExitCode() == exitPast { // whoever looks after the node starts it again
+			f.history.process(n.i, past, "")
+			f.restarts.Go(func() {
+				n.mu.Lock()
+				if n.cmd == cmd {
+					n.cmd = nil
+				}
+				n.mu.Unlock()
+				if err := f.again(ctx, n); err != nil && ctx.Err() == nil {
+					f.history.process(n.i, crashed, err.Error())
+				}
+			})
+			return
 		}
+		f.history.process(n.i, crashed, fmt.Sprint(err))
 	}()
 	late := time.After(f.o.Patience)
 	for {
@@ -419,6 +444,7 @@
 
 // Close ends all processes and ways.
 func (f *Fleet) Close() {
+	defer f.restarts.Wait()
 	for _, n := range f.nodes {
 		f.pause(n, false) // one that is stopped can't be waited for; an error means that it has ended
 		f.kill(n)
--- a/internal/faults/history.go
+++ b/internal/faults/history.go
@@ -24,6 +24,7 @@
 	deaf    // it says so
 	hears   // likewise
 	crashed // it ended by itself, or said that it was about to
+	past    // it ended because others have gone on with its journal
 	lost    // its folder was taken away or put back from an old copy; it is down
 )
 
@@ -40,6 +41,7 @@
 	at     time.Time
 	node   int
 	number int // of the message, at its node
+	ran    bool
 }
 
 // History is what was seen in a run. It may be written by many goroutines at a time.
@@ -59,8 +61,8 @@
 	return &History{o: o, took: map[int][]int{}, gone: map[string]bool{}}
 }
 
-// called notes a call at the partner.
-func (h *History) called(c standin.Call) {
+// called notes a call at the partner, and whether it is done there.
+func (h *History) called(c standin.Call, ran bool) {
 	name, text, _ := strings.Cut(c.ID, "-")
 	node, err := strconv.Atoi(strings.TrimPrefix(name, "n"))
 	number, err2 := strconv.Atoi(text)
@@ -69,7 +71,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.calls = append(h.calls, call{c.At, node, number})
+	h.calls = append(h.calls, call{c.At, node, number, ran})
 }
 
 // watch notes how late this process is woken, until ctx ends.
@@ -89,7 +91,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.changes = append(h.changes, change{time.Now(), node, w, text})
-	if w == lost { // what it held is gone with the folder
+	if w == lost && h.o.Copies == 0 && !h.o.Audit { // what it held is gone with the folder
 		for _, number := range h.took[node] {
 			h.gone[fmt.Sprintf("%s-%d", nodeName(node), number)] = true
 		}
@@ -168,7 +170,7 @@
 	}
 	runs := map[[2]int]int{}
 	for _, c := range h.calls {
-		if key := [2]int{c.node, c.number}; c.number%classes == 2 {
+		if key := [2]int{c.node, c.number}; c.ran && c.number%classes == 2 {
 			if runs[key]++; runs[key] == 2 && !h.gone[fmt.Sprintf("%s-%d", nodeName(c.node), c.number)] {
 				errs = append(errs, fmt.Errorf("%w: payout %d of node %d", ErrTwice, c.number, c.node))
 			}
@@ -261,6 +263,6 @@
 		longest, acts, tokens := h.witness.gap()
 		leases = fmt.Sprintf("; %d acts by %d tokens, %d refused, %v without at most", acts, tokens, len(h.witness.refused), longest.Round(time.Millisecond))
 	}
-	return fmt.Sprintf("%d calls, %d messages taken on; %d starts, %d kills, %d pauses, %d folders lost, deaf %d times, the fullest window at %.2f of its bound, woken %v late%s", len(h.calls), taken, count[started], count[killed],
-		count[paused], count[lost], count[deaf], h.nearest, h.woken.Round(time.Millisecond), leases)
+	return fmt.Sprintf("%d calls, %d messages taken on; %d starts, %d kills, %d pauses, %d folders lost, %d journals past, deaf %d times, the fullest window at %.2f of its bound, woken %v late%s", len(h.calls), taken, count[started], count[killed],
+		count[paused], count[lost], count[past], count[deaf], h.nearest, h.woken.Round(time.Millisecond), leases)
 }
--- a/internal/faults/way.go
+++ b/internal/faults/way.go
@@ -152,6 +152,96 @@
 	}
 }
 
+// Copy carries frames and answers both ways, as long as the way is neither cut nor hangs. What is under way in a stream is not lost or
+// repeated, as in a connection.
+func (w *way) Copy(s grpc.BidiStreamingServer[peerspb.CopyFrame, peerspb.CopyAnswer]) error {
+	ill, broken := w.now()
+	if ill.Cut {
+		return status.Error(codes.Unavailable, "cut")
+	}
+	ctx, cancel := context.WithCancel(s.Context())
+	defer cancel()
+	to, err := peerspb.NewPeersClient(w.onward).Copy(ctx)
+	if err != nil {
+		return err
+	}
+	ends := make(chan error, 2)
+	go func() { // ends with the call
+		for {
+			m, err := s.Recv()
+			if err == nil && w.passes(ctx) {
+				err = to.Send(m)
+			}
+			if err != nil {
+				ends <- err
+				return
+			}
+		}
+	}()
+	go func() {
+		for {
+			m, err := to.Recv()
+			if err == nil && w.passes(ctx) {
+				err = s.Send(m)
+			}
+			if err != nil {
+				ends <- err
+				return
+			}
+		}
+	}()
+	select {
+	case err = <-ends:
+		if errors.Is(err, io.EOF) {
+			err = nil
+		}
+	case <-broken:
+		err = status.Error(codes.Unavailable, "cut")
+	case <-w.life.Done():
+		err = status.Error(codes.Unavailable, "closed")
+	}
+	return err
+}
+
+// passes holds a message up as the way does, and tells whether it goes on; one that hangs comes when the way is well.
+func (w *way) passes(ctx context.Context) bool {
+	for {
+		ill, _ := w.now()
+		if !ill.Hang {
+			t := time.NewTimer(ill.Delay)
+			defer t.Stop()
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+			}
+			return ctx.Err() == nil
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Fence carries what an heir asks.
+func (w *way) Fence(m *peerspb.FenceRequest, s grpc.ServerStreamingServer[peerspb.FencePart]) error {
+	if ill, _ := w.now(); ill.Cut || !w.passes(s.Context()) {
+		return status.Error(codes.Unavailable, "cut")
+	}
+	to, err := peerspb.NewPeersClient(w.onward).Fence(s.Context(), m)
+	for err == nil {
+		var part *peerspb.FencePart
+		if part, err = to.Recv(); err == nil {
+			err = s.Send(part)
+		}
+	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
 func (w *way) after(d time.Duration, p *peerspb.Packet) {
 	if d == 0 {
 		w.forward(p)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	Carriers map[int]delivery.Carrier
 	Recorder delivery.Recorder // is told what the decisions are told; nil for none
 	Shared   delivery.Shared   // where nodes that talk tell each other what they see; nil for none
+	Copies   delivery.Copies   // holds the journal on further nodes; nil for on none
 	Relay    Relay             // where one node's watch of discovery serves others; nil where each watches for itself
 	// Further fronts share the node's engine, and with it each partner's rate, waits and slots.
 	Further []delivery.Front
@@ -82,7 +83,7 @@
 	var err error
 	engine := cfg.Engine()
 	engine.Members, engine.LeaveAfter, engine.Log = n.agent, leaveAfter, log
-	engine.Keeper, engine.Recorder, engine.Shared = x.Keeper, x.Recorder, x.Shared
+	engine.Keeper, engine.Recorder, engine.Shared, engine.Copies = x.Keeper, x.Recorder, x.Shared, x.Copies
 	n.engine, err = delivery.Open(engine, append(x.Further, own)...)
 	if err != nil {
 		return nil, err
--- a/peers/core/core.go
+++ b/peers/core/core.go
@@ -433,6 +433,9 @@
 	return moved
 }
 
+// Members are all that are known.
+func (c *Core) Members() []member.Record { return c.members.Members() }
+
 // Addresses are where nodes are reached, by name.
 func (c *Core) Addresses() map[string]string {
 	all := maps.Clone(c.cfg.Addresses)
--- /dev/null
+++ b/peers/heirs.go
@@ -0,0 +1,169 @@
+package peers
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"starlingusher/delivery"
+	"starlingusher/peers/copies"
+	"starlingusher/peers/lease"
+	"starlingusher/peers/link"
+)
+
+// copyWay is a way to a holder.
+type copyWay = *link.CopyWay
+
+func linkOpenCopy(ctx context.Context, addr string) (copyWay, error) { return link.OpenCopy(ctx, addr) }
+
+func linkFence(ctx context.Context, addr, stream string, epoch uint64) (copies.Shelf, []byte, error) {
+	return link.Fence(ctx, addr, stream, epoch)
+}
+
+// heirs asks for the leases of streams that are held here and whose owners are not heard, and goes on with those that it gets.
+func (c *Copies) heirs(ctx context.Context, now time.Duration) {
+	c.mu.Lock()
+	owned := map[string]bool{}
+	for _, st := range c.streams {
+		owned[st.name] = true
+	}
+	var gone, back []string
+	for name := range c.store.Lines() {
+		at, ok := c.heard[name]
+		if !ok {
+			at = c.begun
+		}
+		switch {
+		case owned[name]:
+		case now-at > c.cfg.Inherit:
+			gone = append(gone, name)
+		default:
+			back = append(back, name)
+		}
+	}
+	c.mu.Unlock()
+	for _, name := range back {
+		if c.wantsAs(name) {
+			c.work.Go(func() { c.s.leases.rest(ctx, name) })
+		}
+	}
+	for _, name := range gone {
+		if !c.wantsAs(name) {
+			c.work.Go(func() { c.s.leases.wantAs(ctx, name, c.life) }) // an error says that the node ends
+			continue
+		}
+		token, _, ok := c.s.leases.may(name, 0)
+		c.mu.Lock()
+		busy := c.reading[name]
+		c.reading[name] = ok
+		c.mu.Unlock()
+		if ok && !busy {
+			c.work.Go(func() {
+				c.inherit(ctx, name, token, copies.ParseNote(c.s.leases.note(name)))
+				c.mu.Lock()
+				delete(c.reading, name)
+				c.mu.Unlock()
+			})
+		}
+	}
+}
+
+// wantsAs tells whether this node asks for a lease.
+func (c *Copies) wantsAs(name string) bool {
+	c.s.leases.mu.Lock()
+	defer c.s.leases.mu.Unlock()
+	return c.s.leases.wants[name] > 0
+}
+
+// inherit goes on with a stream whose lease this node has now.
+func (c *Copies) inherit(ctx context.Context, name string, token uint64, note copies.Note) {
+	log := c.s.o.Log
+	if note.Over || len(note.Holders) == 0 {
+		// All of it is ended, or nothing of it was ever said to be held.
+		if err := c.store.Drop(name); err != nil {
+			log.Error("a copy can't be dropped", "stream", name, "err", err)
+		}
+		c.work.Go(func() { c.s.leases.rest(ctx, name) })
+		return
+	}
+	var found []copies.Found
+	records := map[string][]byte{}
+	for _, h := range note.Holders {
+		var at copies.Shelf
+		var err error
+		if h == c.s.self.Name {
+			at, records[h], err = c.store.Fence(name, token)
+		} else {
+			within, cancel := context.WithTimeout(ctx, copyPatience)
+			at, records[h], err = linkFence(within, c.s.address(h), name, token)
+			cancel()
+		}
+		if err == nil {
+			found = append(found, copies.Found{Holder: h, Shelf: at})
+		}
+	}
+	from, missing := copies.Heir(note, found)
+	if missing != "" {
+		log.Warn("a journal can't be inherited yet", "stream", name, "why", missing)
+		return
+	}
+	at := found[slices.IndexFunc(found, func(f copies.Found) bool { return f.Holder == from })].Shelf.At
+	dir := filepath.Join(c.state, inheritedDir, hex.EncodeToString([]byte(name)))
+	if err := errors.Join(os.RemoveAll(dir), delivery.Restore(dir, delivery.Chain{Mark: at.Mark, Digest: at.Digest}, records[from])); err != nil {
+		log.Error("a journal can't be inherited", "stream", name, "err", err)
+		return
+	}
+	log.Warn("inherits a journal", "stream", name, "epoch", token, "from", from, "mark", at.Mark, "stale", note.Alone)
+	c.mu.Lock()
+	st := c.own(dir, name, at)
+	st.wanted = true
+	c.mu.Unlock()
+	c.kick()
+}
+
+// takeOn has the engine go on with a journal that this node inherited, in this life or an earlier one.
+func (c *Copies) takeOn(ctx context.Context, st *stream) {
+	stale := copies.ParseNote(c.s.leases.note(st.name)).Alone
+	if err := c.engine.Inherit(ctx, st.dir, stale); err != nil && ctx.Err() == nil {
+		c.s.o.Log.Error("a journal is not inherited", "stream", st.name, "err", err)
+		c.mu.Lock()
+		delete(c.streams, st.dir)
+		c.mu.Unlock()
+		c.s.leases.rest(ctx, st.name)
+	}
+}
+
+// empty ends streams that were inherited and owe nothing more.
+func (c *Copies) empty(ctx context.Context) {
+	dirs, err := c.engine.Done(ctx)
+	if err != nil {
+		return // the engine ends
+	}
+	for _, dir := range dirs {
+		c.mu.Lock()
+		st := c.streams[dir]
+		c.mu.Unlock()
+		if st == nil {
+			continue
+		}
+		note := copies.Note{Holders: st.owner.Note().Holders, Over: true}
+		if _, err := c.s.leases.commandAs(ctx, lease.Command{Do: lease.Note, Name: st.name, Token: st.epoch, Reason: note.String()}, c.life); err != nil {
+			c.s.o.Log.Warn("the end of an inherited journal is not noted: others may look at it again", "stream", st.name, "err", err)
+		}
+		c.mu.Lock()
+		for _, stop := range st.senders {
+			stop()
+		}
+		delete(c.streams, dir)
+		c.mu.Unlock()
+		c.s.leases.rest(ctx, st.name)
+		if err := errors.Join(os.RemoveAll(dir), c.store.Drop(st.name)); err != nil {
+			c.s.o.Log.Error("an inherited journal can't be removed", "stream", st.name, "err", err)
+		}
+		c.s.o.Log.Info("an inherited journal owes nothing more", "stream", st.name)
+	}
+}
--- a/peers/lease/holder.go
+++ b/peers/lease/holder.go
@@ -34,6 +34,7 @@
 type Grip struct {
 	Token uint64
 	Until time.Duration // by the holder's clock
+	Note  string        // as of the last answer
 }
 
 // Heard is what the voters told last of a name that this holder wants and does not have.
@@ -55,7 +56,7 @@
 	ask    uint64
 	above  uint64 // the largest token that it knows of
 	open   map[uint64]question
-	wanted map[string]bool
+	wanted map[string]Owner // as whom
 	grips  map[string]Grip
 	heard  map[string]Heard
 	asked  map[string]time.Duration
@@ -63,14 +64,22 @@
 
 // NewHolder is a holder that has nothing yet.
 func NewHolder(cfg Settings, owner Owner) *Holder {
-	return &Holder{cfg: cfg, owner: owner, open: map[uint64]question{}, wanted: map[string]bool{}, grips: map[string]Grip{}, heard: map[string]Heard{}, asked: map[string]time.Duration{}}
+	return &Holder{cfg: cfg, owner: owner, open: map[uint64]question{}, wanted: map[string]Owner{}, grips: map[string]Grip{}, heard: map[string]Heard{}, asked: map[string]time.Duration{}}
 }
 
 // Want has a name asked for and renewed until Drop.
-func (h *Holder) Want(name string) { h.wanted[name] = true }
+func (h *Holder) Want(name string) { h.wanted[name] = h.owner }
+
+// WantAs is Want as another life: one that goes on over the lives of the process, as that of a folder which only one process has at a
+// time. A lease that the process before held is this one's at once.
+func (h *Holder) WantAs(name string, life uint64) { h.wanted[name] = Owner{h.owner.Name, life} }
 
 // Drop gives a name back, or a place in its line: the holder does not act by it any more, and the command tells the voters.
 func (h *Holder) Drop(name string) Command {
+	owner, ok := h.wanted[name]
+	if !ok {
+		owner = h.owner
+	}
 	delete(h.wanted, name)
 	delete(h.asked, name)
 	delete(h.heard, name)
@@ -82,9 +91,9 @@
 		}
 	}
 	if !ok {
-		return Command{Do: Quit, Name: name, Owner: h.owner}
+		return Command{Do: Quit, Name: name, Owner: owner}
 	}
-	return Command{Do: Release, Name: name, Owner: h.owner, Token: g.Token}
+	return Command{Do: Release, Name: name, Owner: owner, Token: g.Token}
 }
 
 // pause is how long after one question for a name the next one comes: sooner for who has it or is the next one.
@@ -115,7 +124,7 @@
 		}
 		h.ask++
 		h.asked[name], h.open[h.ask] = now, question{name, now}
-		all = append(all, Command{Do: Take, Name: name, Owner: h.owner, Above: h.above, Asker: h.owner.Name, Ask: h.ask})
+		all = append(all, Command{Do: Take, Name: name, Owner: h.wanted[name], Above: h.above, Asker: h.owner.Name, Ask: h.ask})
 	}
 	return all
 }
@@ -128,7 +137,7 @@
 	}
 	delete(h.open, a.Ask)
 	h.above = max(h.above, a.Lease.Token)
-	if !a.Done || a.Lease.Owner != h.owner {
+	if !a.Done || a.Lease.Owner != h.wanted[q.name] {
 		h.heard[q.name] = Heard{a.Lease, q.at, a.Place}
 		return true
 	}
@@ -139,7 +148,7 @@
 		g = Grip{Token: a.Lease.Token}
 	}
 	if a.Lease.Token == g.Token && until > g.Until {
-		g.Until = until
+		g.Until, g.Note = until, a.Lease.Note
 	}
 	h.grips[q.name] = g
 	return true
--- a/peers/lease/table.go
+++ b/peers/lease/table.go
@@ -25,6 +25,8 @@
 	Token uint64 `json:"token"`
 	// Renewals counts how often it was taken again by its owner. An end by time names the count that it is based on.
 	Renewals uint64 `json:"renewals"`
+	// Note is what its holder, or the one before, had the voters write down with it.
+	Note string `json:"note,omitempty"`
 }
 
 // Do is what a command does to the table.
@@ -39,6 +41,7 @@
 	Read                  // changes nothing, and tells who holds the name
 	Quit                  // takes the asker out of the line
 	Raise                 // has all further tokens be above one that somebody remembers
+	Note                  // writes Reason down with the lease of a token, by its owner; it outlasts the lease
 )
 
 // Command is an entry of the log. Asker, Ask and Via name the question that it came by and the voter that answers it.
@@ -48,7 +51,7 @@
 	Owner    Owner  `json:"owner,omitzero"`
 	Token    uint64 `json:"token,omitempty"`
 	Renewals uint64 `json:"renewals,omitempty"`
-	Reason   string `json:"reason,omitempty"` // Force
+	Reason   string `json:"reason,omitempty"` // Force, Note
 	// Above is the largest token that the asker knows of. What is granted is larger: a group that was founded anew, because a majority
 	// of its folders was lost, goes on above all that anybody remembers.
 	Above uint64 `json:"above,omitempty"`
@@ -68,8 +71,10 @@
 const (
 	MostNames = 2048 // that are held at a time; a name beyond them is refused
 	mostLine  = 4    // that wait for one name; others come again
-	maxName   = 128  // bytes of a name
-	patience  = 2    // a waiter that asked so often since the name is free goes before those who did not ask at all
+	maxName   = 128  // bytes of a name,
+	maxNote   = 96   // and of a note; the notes of names that are free are kept as well
+	mostNotes = 2048
+	patience  = 2 // a waiter that asked so often since the name is free goes before those who did not ask at all
 )
 
 // waiter is an owner in line, with how often it has asked since the name is free.
@@ -82,12 +87,13 @@
 type table struct {
 	Leases map[string]Lease    `json:"leases"`
 	Lines  map[string][]waiter `json:"lines,omitempty"`
+	Notes  map[string]string   `json:"notes,omitempty"`
 	Last   uint64              `json:"last"`             // token that was granted
 	Voters map[uint64]string   `json:"voters,omitempty"` // names of those in the configuration
 }
 
 func newTable() *table {
-	return &table{Leases: map[string]Lease{}, Lines: map[string][]waiter{}, Voters: map[uint64]string{}}
+	return &table{Leases: map[string]Lease{}, Lines: map[string][]waiter{}, Notes: map[string]string{}, Voters: map[uint64]string{}}
 }
 
 func (t *table) apply(c Command) Result {
@@ -113,6 +119,8 @@
 		return Result{Done: true, Lease: l}
 	case Read:
 		return Result{Done: true, Lease: l}
+	case Note:
+		return t.note(c, l, held)
 	case Raise:
 		t.Last = max(t.Last, c.Above)
 		return Result{Done: true, Lease: l}
@@ -173,7 +181,21 @@
 	}
 	t.keep(c.Name, line)
 	t.Last = max(t.Last, c.Above) + 1
-	l = Lease{Name: c.Name, Owner: c.Owner, Token: t.Last}
+	l = Lease{Name: c.Name, Owner: c.Owner, Token: t.Last, Note: t.Notes[c.Name]}
+	t.Leases[c.Name] = l
+	return Result{Done: true, Lease: l}
+}
+
+func (t *table) note(c Command, l Lease, held bool) Result {
+	_, was := t.Notes[c.Name]
+	if !held || l.Owner != c.Owner || l.Token != c.Token || len(c.Reason) > maxNote || !was && len(t.Notes) >= mostNotes {
+		return Result{Lease: l}
+	}
+	if l.Note = c.Reason; c.Reason == "" {
+		delete(t.Notes, c.Name)
+	} else {
+		t.Notes[c.Name] = c.Reason
+	}
 	t.Leases[c.Name] = l
 	return Result{Done: true, Lease: l}
 }
@@ -248,7 +270,7 @@
 	if err := json.Unmarshal(text, t); err != nil {
 		return nil, fmt.Errorf("lease: snapshot: %w", err)
 	}
-	if t.Leases == nil || t.Lines == nil || t.Voters == nil {
+	if t.Leases == nil || t.Lines == nil || t.Notes == nil || t.Voters == nil {
 		return nil, fmt.Errorf("lease: snapshot: a part of the table is missing")
 	}
 	return t, nil
--- a/peers/leases.go
+++ b/peers/leases.go
@@ -261,6 +261,11 @@
 
 // want has a name asked for until rest is called as often.
 func (l *leases) want(ctx context.Context, name string) error {
+	return l.wantAs(ctx, name, l.s.self.Life)
+}
+
+// wantAs is want for a life that goes on over those of the process.
+func (l *leases) wantAs(ctx context.Context, name string, life uint64) error {
 	l.mu.Lock()
 	if l.wants[name] == 0 && len(l.wants) >= mostOfACall {
 		l.mu.Unlock()
@@ -272,7 +277,7 @@
 	if !first {
 		return nil
 	}
-	return l.inside(ctx, func(time.Duration) { l.node.Holder().Want(name) })
+	return l.inside(ctx, func(time.Duration) { l.node.Holder().WantAs(name, life) })
 }
 
 func (l *leases) rest(ctx context.Context, name string) {
@@ -315,6 +320,13 @@
 	return g.Token, g.Until, true
 }
 
+// note is what a lease carried at the last answer.
+func (l *leases) note(name string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grips[name].Note
+}
+
 // other is who else holds a name, and when that was asked; empty if nothing was heard.
 func (l *leases) other(name string) (holder string, at time.Duration) {
 	l.mu.Lock()
@@ -332,12 +344,16 @@
 
 // command asks one command of the voters.
 func (l *leases) command(ctx context.Context, c lease.Command) (lease.Result, error) {
+	return l.commandAs(ctx, c, l.s.self.Life)
+}
+
+func (l *leases) commandAs(ctx context.Context, c lease.Command, life uint64) (lease.Result, error) {
 	type reply struct {
 		r  lease.Result
 		ok bool
 	}
 	got := make(chan reply, 1)
-	c.Owner = lease.Owner{Name: l.s.self.Name, Life: l.s.self.Life}
+	c.Owner = lease.Owner{Name: l.s.self.Name, Life: life}
 	if err := l.inside(ctx, func(now time.Duration) {
 		l.node.Call(now, c, func(r lease.Result, ok bool) { got <- reply{r, ok} })
 	}); err != nil {
--- a/peers/link/link.go
+++ b/peers/link/link.go
@@ -52,6 +52,8 @@
 	Look func(context.Context) ([]byte, error)
 	// Leases does what an operator's processes ask of leases; nil for nobody.
 	Leases Leases
+	// Holder keeps copies for others; nil for none.
+	Holder Holder
 }
 
 // Leases is a node's side of what operators ask.
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -10,6 +10,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -52,6 +53,7 @@
 	leases    *leases
 	discovery *Discovery
 	trials    *trials
+	copies    *Copies
 
 	mu     sync.Mutex
 	where  map[string]string // addresses of members, by name
@@ -95,9 +97,16 @@
 		return nil, fmt.Errorf("peers: the node has no name")
 	}
 	var err error
-	s.link, err = link.Open(link.Options{Listen: o.File.Listen, Name: s.self.Name, Life: s.self.Life, Log: o.Log, Look: s.look, Leases: newOperator(s)})
+	var holder link.Holder
+	if o.File.Copies != nil {
+		if s.copies, err = openCopies(s, o.State); err != nil {
+			return nil, err
+		}
+		holder = s.copies
+	}
+	s.link, err = link.Open(link.Options{Holder: holder, Listen: o.File.Listen, Name: s.self.Name, Life: s.self.Life, Log: o.Log, Look: s.look, Leases: newOperator(s)})
 	if err != nil {
-		return nil, err
+		return nil, errors.Join(err, s.closeStores())
 	}
 	s.core = core.New(core.Settings{
 		Member:    member.Settings{Self: s.self, Seeds: o.File.Seeds, Period: o.File.Period},
@@ -107,7 +116,7 @@
 	if o.File.Leases != nil {
 		if s.leases, err = openLeases(s, o.State); err != nil {
 			s.link.Close()
-			return nil, err
+			return nil, errors.Join(err, s.closeStores())
 		}
 		if o.File.Leases.Discovery != "" {
 			s.discovery = newDiscovery(s)
@@ -123,13 +132,24 @@
 // Close gives back what Open took. It may be called after Run, and again.
 func (s *Service) Close() {
 	s.link.Close()
+	if err := s.closeStores(); err != nil {
+		s.o.Log.Error("a file can't be closed", "err", err)
+	}
+}
+
+func (s *Service) closeStores() (err error) {
+	if s.copies != nil {
+		err = s.copies.store.Close()
+	}
 	if s.leases != nil {
-		if err := s.leases.close(); err != nil {
-			s.o.Log.Error("the file of leases can't be closed", "err", err)
-		}
+		err = errors.Join(err, s.leases.close())
 	}
+	return err
 }
 
+// Copies is this node's side of journals that stand on further nodes, nil where they don't.
+func (s *Service) Copies() *Copies { return s.copies }
+
 func (s *Service) now() time.Duration { return time.Since(s.begun) }
 
 // Run talks until ctx ends, and then tells some others that it leaves.
@@ -183,6 +203,9 @@
 	if s.trials != nil {
 		acting.Go(func() { s.trials.run(ctx) })
 	}
+	if s.copies != nil {
+		acting.Go(func() { s.copies.run(ctx) })
+	}
 	for _, d := range s.o.File.Leases.Duties {
 		acting.Go(func() { s.serve(ctx, d) })
 	}
@@ -209,6 +232,9 @@
 		return
 	}
 	where := s.core.Addresses()
+	if s.copies != nil {
+		s.copies.know(s.core.Members())
+	}
 	s.mu.Lock()
 	s.where = where
 	s.mu.Unlock()
--- a/peers/settings.go
+++ b/peers/settings.go
@@ -28,6 +28,15 @@
 	Term      time.Duration     // of a right
 	Drift     float64           // longest difference of a clock's rate from true time
 	Leases    *Leases           // nil where tasks of the fleet are not shared out
+	Copies    *Copying          // nil where journals stand on one node alone
+}
+
+// Copying says how journals stand on further nodes.
+type Copying struct {
+	K       int           // how many further nodes hold what this one has promised
+	Alone   bool          // go on without them where they can't be had, and say so; otherwise new messages are refused
+	Inherit time.Duration // a node that is not heard for so long is inherited
+	DiskMB  int           // what this node may hold for others
 }
 
 // Leases says which tasks one node does for the whole fleet.
@@ -59,6 +68,9 @@
 	defaultPeriod = 500 * time.Millisecond
 	defaultTerm   = 3 * time.Second
 	defaultDrift  = 0.01
+	// Longer than a node takes to be started again.
+	defaultInherit = 10 * time.Second
+	defaultHeldMB  = 64
 )
 
 // entry is a value with its line.
@@ -89,6 +101,14 @@
 	Term      entry[string]            `yaml:"term"`
 	Drift     entry[float64]           `yaml:"drift"`
 	Leases    *leasesForm              `yaml:"leases"`
+	Copies    *copiesForm              `yaml:"copies"`
+}
+
+type copiesForm struct {
+	K       entry[int]    `yaml:"k"`
+	Without entry[string] `yaml:"without"`
+	Inherit entry[string] `yaml:"inherit"`
+	DiskMB  entry[int]    `yaml:"diskMB"`
 }
 
 type leasesForm struct {
@@ -175,9 +195,34 @@
 	if form.Leases != nil {
 		f.Leases = p.leases(form.Leases, f)
 	}
+	if form.Copies != nil {
+		f.Copies = p.copies(form.Copies, f)
+	}
 	return f
 }
 
+func (p *parser) copies(form *copiesForm, f *File) *Copying {
+	c := &Copying{K: form.K.V, Alone: form.Without.V == "alone", Inherit: p.span(form.Inherit, "copies: inherit", defaultInherit, 100*time.Millisecond, time.Hour), DiskMB: form.DiskMB.V}
+	if form.K.Line == 0 {
+		c.K = 1
+	}
+	if c.K < 1 || c.K > 4 {
+		p.fail(form.K.Line, "copies: k %d: 1 to 4 further nodes", c.K)
+	}
+	if w := form.Without; w.V != "" && w.V != "alone" && w.V != "refuse" {
+		p.fail(w.Line, "copies: without %q: refuse or alone", w.V)
+	}
+	if form.DiskMB.Line == 0 {
+		c.DiskMB = defaultHeldMB
+	} else if c.DiskMB < 1 || c.DiskMB > 1<<20 {
+		p.fail(form.DiskMB.Line, "copies: diskMB %d: at least 1", c.DiskMB)
+	}
+	if f.Leases == nil {
+		p.fail(max(form.K.Line, form.Without.Line, form.Inherit.Line), "copies need leases: the part leases is missing")
+	}
+	return c
+}
+
 func (p *parser) leases(form *leasesForm, f *File) *Leases {
 	l := &Leases{Term: p.span(form.Term, "leases: term", defaultTerm, 200*time.Millisecond, time.Hour), Discovery: form.Discovery.V, Trials: form.Trials.V}
 	switch l.Discovery {
