--- /dev/null
+++ b/cmd/coralyard/copies.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"starlingusher/peers"
+)
+
+type copiesCommand struct {
+	nodeFlags `embed:""`
+	JSON      bool `name:"json" help:"Print JSON."`
+}
+
+var errNoCopies = errors.New("this node has no copies: its file of peers has no part on them")
+
+// Run shows where a node's journal stands, and what the node holds for others.
+func (c *copiesCommand) Run() error {
+	addr, err := c.addr()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	st, err := peers.Look(ctx, addr)
+	if err != nil {
+		return err
+	}
+	if st.Copies == nil {
+		return errNoCopies
+	}
+	if c.JSON {
+		out := json.NewEncoder(os.Stdout)
+		out.SetIndent("", "  ")
+		return out.Encode(st.Copies)
+	}
+	return printCopies(os.Stdout, st)
+}
+
+func printCopies(w io.Writer, st peers.Status) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "journal\tepoch\tlease left\tmark\theld by\tbehind\tnew messages")
+	for _, l := range st.Copies.Own {
+		name, takes := l.Stream, "refused"
+		if l.Inherited {
+			name += " (inherited)"
+		}
+		switch {
+		case l.Alone:
+			takes = "taken on ALONE"
+		case l.Holds:
+			takes = "taken on"
+		}
+		var behind []string
+		for _, h := range sortedNames(l.Behind) {
+			if l.Behind[h] < 0 {
+				behind = append(behind, h+" unknown")
+			} else {
+				behind = append(behind, fmt.Sprintf("%s %d bytes", h, l.Behind[h]))
+			}
+		}
+		fmt.Fprintf(t, "%s\t%d\t%.1fs\t%d\t%s\t%s\t%s\n", name, l.Epoch, l.Left, l.Mark, orNobody(l.Holders), strings.Join(behind, ", "), takes)
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "held for others\tepoch\tmark\tbytes\towner heard")
+	for _, l := range st.Copies.Held {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%.1fs ago\n", l.Stream, l.Epoch, l.Mark, l.Bytes, l.Heard)
+	}
+	return t.Flush()
+}
+
+func sortedNames(m map[string]int64) []string {
+	var all []string
+	for name := range m {
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	return all
+}
--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -124,6 +124,10 @@
 
 // begin makes a call.
 func (n *Engine) begin(ctx context.Context, o *outgoing) {
+	if n.cfg.Copies != nil && !n.mine(o) {
+		n.notBegun(o)
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	for _, l := range o.legs {
 		n.out[l.attempt] = outCall{l.m, cancel}
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -186,6 +186,21 @@
 	}
 }
 
+// mine tells whether a call's journals are this node's now, and has it begun no later than they are.
+func (n *Engine) mine(o *outgoing) bool {
+	now := time.Now()
+	for i := range o.legs {
+		until := n.cfg.Copies.Until(o.legs[i].m.home.dir)
+		if !now.Before(until) {
+			return false
+		}
+		if b := &o.legs[i].BeginBy; b.IsZero() || until.Before(*b) {
+			*b = until
+		}
+	}
+	return true
+}
+
 // notBegun ends a call that was not made: its attempt's record is not held.
 func (n *Engine) notBegun(o *outgoing) {
 	for _, l := range o.legs {
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -20,6 +20,8 @@
 	Takes() (after time.Duration, ok bool)
 	// Append takes what was written to journals since the last call, in order, under a ticket that only grows.
 	Append(ticket uint64, chunks []Chunk)
+	// Until is when a journal stops being this node's to go on with, if nothing more is heard: no attempt of it is begun later.
+	Until(stream string) time.Time
 	// Watch tells how far all is held, until ctx ends.
 	Watch(ctx context.Context, tell func(Covered))
 }
@@ -112,7 +114,7 @@
 	return nil
 }
 
-// snapshot is all that is live, as it goes to a node that has nothing of it yet.
+// anew has all that is live told, for a node that has nothing of it yet.
 func (j *journal) anew() error {
 	if len(j.pending) > 0 {
 		if err := j.flush(); err != nil {
--- a/peers/copies/copies.go
+++ b/peers/copies/copies.go
@@ -116,10 +116,10 @@
 	switch {
 	case f.Whole && to.Mark > s.At.Mark:
 		return next, Kept, true
-	case to.Mark <= s.At.Mark && f.Epoch > s.Epoch, f.Whole && to.Mark < s.At.Mark:
-		return s, Ahead, false
 	case to == s.At:
 		return s, Kept, false
+	case to.Mark <= s.At.Mark && f.Epoch > s.Epoch, f.Whole && to.Mark < s.At.Mark:
+		return s, Ahead, false
 	case to.Mark < s.At.Mark:
 		return s, Kept, false // it came before
 	case f.Before == s.At:
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -452,5 +452,8 @@
 		}
 		st.Leases = <-got
 	}
+	if s.copies != nil {
+		st.Copies = s.copies.status(s.now())
+	}
 	return json.Marshal(st)
 }
--- a/peers/status.go
+++ b/peers/status.go
@@ -18,6 +18,7 @@
 	Seen   link.Counts  `json:"packets"`
 	Missed uint64       `json:"missed,omitempty"` // sightings that were not told for want of room
 	Leases *LeaseStatus `json:"leases,omitempty"`
+	Copies *CopyStatus  `json:"copies,omitempty"`
 }
 
 func (s *Service) status() Status {
