--- a/peers/copies/copies_test.go
+++ b/peers/copies/copies_test.go
@@ -324,6 +324,11 @@
 	}
 	o.Covered(1, true)
 	o.Wrote(2, 4, Chain{Mark: 40})
+	o.Choose([]string{"b"})
+	o.Acked("b", 40)
+	if _, _, ok := o.Covered(3, true); ok {
+		t.Error("who is to hold it counts before the voters know")
+	}
 	o.Choose(nil) // the holder is gone
 	o.Ask(10, true)
 	if o.Holds() {
