Copies: frames go together, what nobody waits for is told later, refusals when it counts

Need: with one holder a node took 719 us of CPU a message in place of 127 at 2,000 a second and refused a quarter: new messages were refused whenever a record was on its way. Change: new messages are refused only once a record has waited too long or holders are missing; frames that are ready go as one; records that guard nothing wait for the next that do, 20 ms at most; an answer is counted without a look at everything else.

--- a/delivery/held.go
+++ b/delivery/held.go
@@ -44,8 +44,8 @@
 // holding is what an engine with Copies keeps.
 type holding struct {
 	ticket  uint64 // of the last that went out
+	urgent  bool   // something waits for what is written next
 	covered uint64
-	short   uint64 // up to here what went out is given up as not held
 	unheld  []*unheld
 	guards  []guarded
 }
@@ -93,7 +93,7 @@
 	}
 	if len(news) > 0 {
 		n.hold.ticket++
-		n.cfg.Copies.Append(n.hold.ticket, news)
+		n.cfg.Copies.Append(n.hold.ticket, news, n.hold.urgent)
 	}
 	return errors.Join(errs...)
 }
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -18,8 +18,8 @@
 type Copies interface {
 	// Takes tells whether a message may be taken on now, or else after when it makes sense to come again.
 	Takes() (after time.Duration, ok bool)
-	// Append takes what was written to journals since the last call, in order, under a ticket that only grows.
-	Append(ticket uint64, chunks []Chunk)
+	// Append takes what was written to journals since the last call, in order, under a ticket that only grows. Urgent says that something waits for it.
+	Append(ticket uint64, chunks []Chunk, urgent bool)
 	// Until is when a journal stops being this node's to go on with, if nothing more is heard: no attempt of it is begun later.
 	Until(stream string) time.Time
 	// Watch tells how far all is held, until ctx ends.
@@ -31,6 +31,7 @@
 type Chunk struct {
 	Stream  string // the journal's folder
 	Before  Chain
+	After   Chain
 	Records []byte
 	Whole   bool
 }
@@ -43,12 +44,9 @@
 
 // Next is the place behind records.
 func (c Chain) Next(records []byte) Chain {
-	h := sha256.New()
-	h.Write(c.Digest[:])
-	h.Write(records)
-	next := Chain{Mark: c.Mark + uint64(len(records))}
-	h.Sum(next.Digest[:0])
-	return next
+	both := make([]byte, 0, 512) // on the stack, but for long records
+	both = append(append(both, c.Digest[:]...), records...)
+	return Chain{Mark: c.Mark + uint64(len(records)), Digest: sha256.Sum256(both)}
 }
 
 // Anew is the place behind records that take the place of all before.
@@ -90,7 +88,7 @@
 		j.chain = j.chain.Next(rest[:n])
 		rest = rest[n:]
 	}
-	j.news = append(j.news, Chunk{Stream: j.dir, Before: before, Records: append([]byte(nil), records...)})
+	j.news = append(j.news, Chunk{Stream: j.dir, Before: before, After: j.chain, Records: append([]byte(nil), records...)})
 }
 
 // tellAll notes what a new file holds, and writes behind it how far the chain has come with it.
@@ -107,7 +105,7 @@
 	}
 	before := j.chain
 	j.chain = before.Anew(whole)
-	j.news = append(j.news, Chunk{Stream: j.dir, Before: before, Records: whole, Whole: true})
+	j.news = append(j.news, Chunk{Stream: j.dir, Before: before, After: j.chain, Records: whole, Whole: true})
 	r := binary.AppendUvarint(record(recChain, 0), j.chain.Mark)
 	n, _ := w.Write(appendRecord(nil, appendBytes(r, j.chain.Digest[:]))) // the error stays with w
 	*size += int64(n)
--- a/peers/copies.go
+++ b/peers/copies.go
@@ -30,6 +30,7 @@
 	idName       = "copies.id" // names the folder's stream
 	inheritedDir = "inherited"
 	ringBytes    = 8 << 20 // of frames that are kept for holders that are behind
+	frameBytes   = 256 << 10
 	refuseAfter  = 500 * time.Millisecond
 )
 
@@ -90,6 +91,7 @@
 	bytes   int
 	more    chan struct{}
 	senders map[string]context.CancelFunc
+	lazy    bool // frames wait for others, or for the next tick
 	wanted  bool // its lease
 	engine  bool // the engine has it
 	stale   bool
@@ -254,6 +256,12 @@
 	return st
 }
 
+// tell wakes those who send the stream. The lock is held.
+func (st *stream) tell() {
+	close(st.more)
+	st.more, st.lazy = make(chan struct{}), false
+}
+
 // Takes is delivery.Copies's.
 func (c *Copies) Takes() (time.Duration, bool) {
 	c.mu.Lock()
@@ -262,7 +270,7 @@
 	if st == nil || st.epoch == 0 {
 		return refuseAfter, false
 	}
-	if _, _, leased := c.s.leases.may(st.name, 0); !leased || !st.owner.Holds() {
+	if _, _, leased := c.s.leases.may(st.name, 0); !leased || !st.owner.Holds(c.s.now()) {
 		return refuseAfter, false
 	}
 	return 0, true
@@ -284,7 +292,7 @@
 }
 
 // Append is delivery.Copies's.
-func (c *Copies) Append(number uint64, chunks []delivery.Chunk) {
+func (c *Copies) Append(number uint64, chunks []delivery.Chunk, urgent bool) {
 	now := c.s.now()
 	c.mu.Lock()
 	t := ticket{number: number, of: map[*stream]bool{}}
@@ -294,16 +302,16 @@
 			continue
 		}
 		f := copies.Frame{Stream: st.name, Before: chainOf(ch.Before), Records: ch.Records, Whole: ch.Whole}
-		to, _ := f.After() // the engine's own records are whole
 		st.frames = append(st.frames, f)
 		for st.bytes += len(f.Records); st.bytes > ringBytes && len(st.frames) > 1; st.base++ {
 			st.bytes -= len(st.frames[0].Records)
 			st.frames = st.frames[1:]
 		}
-		st.owner.Wrote(now, number, to)
+		st.owner.Wrote(now, number, chainOf(ch.After))
 		t.of[st] = true
-		close(st.more)
-		st.more = make(chan struct{})
+		if st.lazy = !urgent; urgent {
+			st.tell()
+		}
 	}
 	c.tickets = append(c.tickets, t)
 	c.mu.Unlock()
@@ -341,17 +349,26 @@
 	for {
 		select {
 		case <-tick.C:
-		case <-c.wake:
+			now := c.s.now()
+			c.mu.Lock()
+			for _, dir := range slices.Sorted(maps.Keys(c.streams)) {
+				c.look(ctx, now, c.streams[dir])
+			}
+			c.cover()
+			c.mu.Unlock()
+		case <-c.wake: // an answer has come: what it covers, and nothing else, is looked at at once
+			now := c.s.now()
+			c.mu.Lock()
+			for _, st := range c.streams {
+				c.count(now, st)
+			}
+			c.cover()
+			c.mu.Unlock()
+			continue
 		case <-ctx.Done():
 			return
 		}
 		now := c.s.now()
-		c.mu.Lock()
-		for _, dir := range slices.Sorted(maps.Keys(c.streams)) {
-			c.look(ctx, now, c.streams[dir])
-		}
-		c.cover()
-		c.mu.Unlock()
 		if now >= heirAt {
 			heirAt = now + heirEvery
 			c.heirs(ctx, now)
@@ -365,6 +382,9 @@
 
 // look does what one stream needs now. The lock is held.
 func (c *Copies) look(ctx context.Context, now time.Duration, st *stream) {
+	if st.lazy {
+		st.tell()
+	}
 	if !st.wanted {
 		st.wanted = true
 		c.work.Go(func() { c.s.leases.wantAs(ctx, st.name, c.life) }) // an error says that the node ends
@@ -407,12 +427,20 @@
 			}
 		}
 	}
-	if number, short, ok := st.owner.Covered(now, leased); ok {
-		for i := range c.tickets {
-			if t := &c.tickets[i]; t.number <= number && t.of[st] {
-				delete(t.of, st)
-				t.short = t.short || short
-			}
+	c.count(now, st)
+}
+
+// count takes a stream out of the tickets that wait for it no more. The lock is held.
+func (c *Copies) count(now time.Duration, st *stream) {
+	_, _, leased := c.s.leases.may(st.name, 0)
+	number, short, ok := st.owner.Covered(now, leased)
+	if !ok {
+		return
+	}
+	for i := range c.tickets {
+		if t := &c.tickets[i]; t.number <= number && t.of[st] {
+			delete(t.of, st)
+			t.short = t.short || short
 		}
 	}
 }
@@ -525,13 +553,13 @@
 		}
 		epoch, end := st.epoch, st.owner.At()
 		c.mu.Unlock()
-		for i := range send {
-			send[i].Epoch = epoch
-			if err := way.Send(&send[i]); err != nil {
+		pos += len(send)
+		for _, f := range together(send) {
+			f.Epoch = epoch
+			if err := way.Send(&f); err != nil {
 				return err
 			}
 		}
-		pos += len(send)
 		select {
 		case <-more:
 		case <-alive.C:
@@ -546,6 +574,18 @@
 	}
 }
 
+// together makes as few frames of some as can be: what is ready goes in one.
+func together(all []copies.Frame) (few []copies.Frame) {
+	for _, f := range all {
+		if last := len(few) - 1; last >= 0 && !f.Whole && !few[last].Whole && len(few[last].Records)+len(f.Records) <= frameBytes {
+			few[last].Records = append(slices.Clip(few[last].Records), f.Records...)
+			continue
+		}
+		few = append(few, f)
+	}
+	return few
+}
+
 // meet finds the frame that a holder is to be sent first, by what it has.
 func (c *Copies) meet(st *stream, name string, at copies.Shelf, v copies.Verdict) (pos int, err error) {
 	c.mu.Lock()
@@ -677,7 +717,7 @@
 	for _, dir := range slices.Sorted(maps.Keys(c.streams)) {
 		s := c.streams[dir]
 		_, until, leased := c.s.leases.may(s.name, 0)
-		line := OwnLine{Stream: s.name, Inherited: dir != c.state, Mark: s.owner.At().Mark, Holders: s.owner.Note().Holders, Alone: s.owner.Alone(), Holds: leased && s.owner.Holds(), Behind: s.owner.Behind()}
+		line := OwnLine{Stream: s.name, Inherited: dir != c.state, Mark: s.owner.At().Mark, Holders: s.owner.Note().Holders, Alone: s.owner.Alone(), Holds: leased && s.owner.Holds(now), Behind: s.owner.Behind()}
 		if leased {
 			line.Epoch, line.Left = s.epoch, (until - now).Seconds()
 		}
--- a/peers/copies/copies.go
+++ b/peers/copies/copies.go
@@ -51,11 +51,9 @@
 		if n > uint64(len(records)) {
 			return c, false
 		}
-		h := sha256.New()
-		h.Write(c.Digest[:])
-		h.Write(records[:n])
-		c.Mark += n
-		h.Sum(c.Digest[:0])
+		both := make([]byte, 0, 512) // on the stack, but for long records
+		both = append(append(both, c.Digest[:]...), records[:n]...)
+		c.Mark, c.Digest = c.Mark+n, sha256.Sum256(both)
 		records = records[n:]
 	}
 	return c, true
@@ -220,7 +218,7 @@
 	waits    map[uint64]wait // by ticket: the mark that it needs, and since when
 	tickets  []uint64
 	covered  uint64
-	lacking  time.Duration // since when fewer than k could hold; 0 while they can
+	lacking  time.Duration // since when there are fewer than k to hold, or the oldest ticket waits; 0 while neither is so
 }
 
 type wait struct {
@@ -283,10 +281,12 @@
 	}
 	full := len(o.wants) >= o.k
 	switch {
-	case full && o.held(o.wants) >= o.oldest(): // the new ones have all that the old ones are waited for
+	case !full && o.lacking == 0:
+		o.lacking = max(now, 1)
+	case full && len(o.tickets) == 0:
 		o.lacking = 0
-	case o.lacking == 0:
-		o.lacking = now
+	case full:
+		o.lacking = max(o.waits[o.tickets[0]].since, 1)
 	}
 	want := o.note
 	switch {
@@ -364,8 +364,9 @@
 }
 
 // Holds tells whether new messages can be held now: nothing has waited in vain, and enough holders are there.
-func (o *Owner) Holds() bool {
-	return o.note.Alone || len(o.note.Holders) >= o.k && o.lacking == 0
+func (o *Owner) Holds(now time.Duration) bool {
+	late := o.lacking != 0 && now-o.lacking > o.patience
+	return o.note.Alone || len(o.note.Holders) >= o.k && len(o.wants) >= o.k && !late
 }
 
 // Alone tells whether the owner goes on without holders.
--- a/peers/copies/copies_test.go
+++ b/peers/copies/copies_test.go
@@ -295,7 +295,7 @@
 func TestOwner(t *testing.T) {
 	o := NewOwner(1, patience, Chain{})
 	o.Granted(Note{})
-	if _, ok := o.Ask(0, false); ok || o.Holds() {
+	if _, ok := o.Ask(0, false); ok || o.Holds(0) {
 		t.Error("holders are noted that there are not")
 	}
 	o.Wrote(0, 1, Chain{Mark: 10})
@@ -308,15 +308,15 @@
 	o.Choose([]string{"a"})
 	o.Acked("a", 10)
 	note, ok := o.Ask(0, false)
-	if !ok || note.String() != "a" || o.Holds() {
+	if !ok || note.String() != "a" || o.Holds(0) {
 		t.Errorf("%v, %v", note, ok)
 	}
 	o.Noted(true)
 	o.Wrote(0, 2, Chain{Mark: 20})
 	o.Wrote(0, 3, Chain{Mark: 30})
 	o.Acked("a", 20)
-	if n, short, ok := o.Covered(1, true); n != 2 || short || !ok || !o.Holds() {
-		t.Error(n, short, ok, o.Holds())
+	if n, short, ok := o.Covered(1, true); n != 2 || short || !ok || !o.Holds(1) {
+		t.Error(n, short, ok, o.Holds(1))
 	}
 	o.Acked("a", 30)
 	if _, _, ok := o.Covered(1, false); ok {
@@ -331,7 +331,7 @@
 	}
 	o.Choose(nil) // the holder is gone
 	o.Ask(10, true)
-	if o.Holds() {
+	if o.Holds(10) {
 		t.Error("new messages are taken on though nobody can hold them")
 	}
 	if note, ok := o.Ask(10+2*patience, true); !ok || !note.Alone {
