--- a/peers/copies/copies.go
+++ b/peers/copies/copies.go
@@ -29,6 +29,7 @@
 	"encoding/binary"
 	"hash/fnv"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -178,6 +179,9 @@
 	Holders []string // all that have to have what is held; none for a stream of which nothing is held yet
 	Alone   bool     // the owner goes on without them: what they have may lack what was done since
 	Over    bool     // all that the stream owed is ended, and nobody need go on with it
+	// Epoch is that of who wrote the note: an owner notes its own before it counts anything as held, and an heir before it goes on. So whoever
+	// has the lease again after it had ended knows by the note whether another has gone on with the stream meanwhile.
+	Epoch uint64
 }
 
 // String is the note as it is written.
@@ -189,11 +193,16 @@
 	if n.Over {
 		text += "."
 	}
+	if n.Epoch != 0 {
+		text += "@" + strconv.FormatUint(n.Epoch, 36)
+	}
 	return text
 }
 
 // ParseNote reads a note.
 func ParseNote(text string) (n Note) {
+	text, epoch, _ := strings.Cut(text, "@")
+	n.Epoch, _ = strconv.ParseUint(epoch, 36, 64) // 0 is of nobody, and so is what can't be read
 	if n.Over = strings.HasSuffix(text, "."); n.Over {
 		text = text[:len(text)-1]
 	}
@@ -210,6 +219,7 @@
 type Owner struct {
 	k        int
 	patience time.Duration
+	epoch    uint64            // of the lease; nothing is held before the note has it
 	at       Chain             // the end of the stream
 	note     Note              // that the voters have agreed on
 	asked    *Note             // that they are asked to
@@ -231,8 +241,11 @@
 	return &Owner{k: k, patience: patience, at: at, acked: map[string]uint64{}, waits: map[uint64]wait{}}
 }
 
-// Granted tells what the lease carries.
-func (o *Owner) Granted(note Note) { o.note = note }
+// Granted tells what the lease carries, and its token.
+func (o *Owner) Granted(note Note, epoch uint64) { o.note, o.epoch, o.asked = note, epoch, nil }
+
+// IsNoted tells whether the voters know that this owner goes on with the stream.
+func (o *Owner) IsNoted() bool { return o.epoch != 0 && o.note.Epoch == o.epoch }
 
 // Wrote notes that the stream has come to a place with a ticket.
 func (o *Owner) Wrote(now time.Duration, ticket uint64, to Chain) {
@@ -289,11 +302,13 @@
 		o.lacking = max(o.waits[o.tickets[0]].since, 1)
 	}
 	want := o.note
+	want.Epoch = o.epoch
 	switch {
+	case !o.IsNoted(): // before all else
 	case full && o.ready(o.wants):
-		want = Note{Holders: o.wants}
+		want.Holders, want.Alone = o.wants, false
 	case mayAlone && o.lacking != 0 && now-o.lacking > o.patience && !o.stands():
-		want = Note{Holders: o.note.Holders, Alone: true}
+		want.Alone = true
 	}
 	if want.String() == o.note.String() {
 		return Note{}, false
@@ -337,6 +352,7 @@
 // Without its lease the owner counts nothing as held.
 func (o *Owner) Covered(now time.Duration, leased bool) (ticket uint64, short bool, ok bool) {
 	before := o.covered
+	leased = leased && o.IsNoted()
 	mark, alone := uint64(0), leased && o.note.Alone
 	if leased && len(o.note.Holders) >= o.k {
 		mark = o.held(o.note.Holders)
@@ -366,7 +382,7 @@
 // Holds tells whether new messages can be held now: nothing has waited in vain, and enough holders are there.
 func (o *Owner) Holds(now time.Duration) bool {
 	late := o.lacking != 0 && now-o.lacking > o.patience
-	return o.note.Alone || len(o.note.Holders) >= o.k && len(o.wants) >= o.k && !late
+	return o.IsNoted() && (o.note.Alone || len(o.note.Holders) >= o.k && len(o.wants) >= o.k && !late)
 }
 
 // Alone tells whether the owner goes on without holders.
--- a/peers/heirs.go
+++ b/peers/heirs.go
@@ -120,7 +120,7 @@
 	log.Warn("inherits a journal", "stream", name, "epoch", token, "from", from, "mark", at.Mark, "stale", note.Alone)
 	c.mu.Lock()
 	st := c.own(dir, name, at)
-	st.wanted = true
+	st.wanted, st.heir = true, true
 	c.mu.Unlock()
 	c.kick()
 }
@@ -131,7 +131,7 @@
 	if err := c.engine.Inherit(ctx, st.dir, stale); err != nil && ctx.Err() == nil {
 		c.s.o.Log.Error("a journal is not inherited", "stream", st.name, "err", err)
 		c.mu.Lock()
-		delete(c.streams, st.dir)
+		c.drop(st)
 		c.mu.Unlock()
 		c.s.leases.rest(ctx, st.name)
 	}
@@ -150,15 +150,12 @@
 		if st == nil {
 			continue
 		}
-		note := copies.Note{Holders: st.owner.Note().Holders, Over: true}
+		note := copies.Note{Holders: st.owner.Note().Holders, Over: true, Epoch: st.epoch}
 		if _, err := c.s.leases.commandAs(ctx, lease.Command{Do: lease.Note, Name: st.name, Token: st.epoch, Reason: note.String()}, c.life); err != nil {
 			c.s.o.Log.Warn("the end of an inherited journal is not noted: others may look at it again", "stream", st.name, "err", err)
 		}
 		c.mu.Lock()
-		for _, stop := range st.senders {
-			stop()
-		}
-		delete(c.streams, dir)
+		c.drop(st)
 		c.mu.Unlock()
 		c.s.leases.rest(ctx, st.name)
 		if err := errors.Join(os.RemoveAll(dir), c.store.Drop(st.name)); err != nil {
