Engine: a call that can't begin by copies comes back after a pause; tests of the seam

Change: such a call ends as not sent 0.3 s later; a sender waits for its holder's answer and sends what came meanwhile together; the test waits.

--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -125,7 +125,7 @@
 // begin makes a call.
 func (n *Engine) begin(ctx context.Context, o *outgoing) {
 	if n.cfg.Copies != nil && !n.mine(o) {
-		n.notBegun(o)
+		n.notBegun(ctx, o)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/delivery/engine_test.go
+++ b/delivery/engine_test.go
@@ -749,6 +749,10 @@
 	if e, err := n.Do(t.Context(), "wallet", asked); err != nil || e.State != Refused {
 		t.Errorf("got %+v, %v", e, err)
 	}
+	eventually(t, "the first one's call is heard of", func() bool {
+		_, err := n.Lookup(t.Context(), "wallet", "a")
+		return err == nil
+	})
 	for life := range 2 {
 		a, err := n.Lookup(t.Context(), "wallet", "a")
 		if err != nil || a.State != Delivered {
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -17,6 +17,8 @@
 const (
 	numberBits   = 48
 	mostInherits = 1 << 12
+	// Twelve tries of a message last for some seconds.
+	notBegunPause = 300 * time.Millisecond
 )
 
 // ErrNotInherited is wrapped by what Inherit says.
@@ -81,7 +83,7 @@
 
 // write has all journals written, and tells the copies what is new.
 func (n *Engine) write() error {
-	if n.cfg.Copies == nil {
+	if n.cfg.Copies == nil && len(n.inherited) == 0 {
 		return n.journal.flush()
 	}
 	var errs []error
@@ -201,12 +203,14 @@
 	return true
 }
 
-// notBegun ends a call that was not made: its attempt's record is not held.
-func (n *Engine) notBegun(o *outgoing) {
+// notBegun ends a call that was not made, since its attempt's record is not held or its journal is not this node's now; a while later, or its
+// messages would be out of tries before that can be another.
+func (n *Engine) notBegun(ctx context.Context, o *outgoing) {
 	for _, l := range o.legs {
 		n.out[l.attempt] = outCall{l.m, func() {}}
 	}
 	n.work(func() {
+		sleep(ctx, notBegunPause)
 		for i := range o.legs {
 			n.events <- o.called(i, time.Now(), Result{Outcome: choice.Stale, NotRun: true, Err: errNotHeld})
 		}
@@ -254,10 +258,15 @@
 	for _, p := range slices.SortedFunc(maps.Values(j.live), func(a, b *past) int { return cmp.Compare(a.seq, b.seq) }) {
 		j.own(p)
 		f := n.fronts[p.front]
-		if f == nil || p.class >= len(n.cfg.Settings.Classes) || n.messages[ref(p.front, p.id)] != nil {
-			n.log.Error("a message of a journal that is inherited is passed over: its front or class is not known here, or its id is in use",
+		switch {
+		case f == nil || p.class >= len(n.cfg.Settings.Classes): // it stays where it is
+			n.log.Error("a message of a journal that is inherited is passed over: its front or class is not known here",
 				"journal", i.dir, "front", p.front, "id", p.id, "class", p.class)
 			continue
+		case n.messages[ref(p.front, p.id)] != nil: // by its id it is the same
+			n.log.Warn("a message of a journal that is inherited was handed in here as well: it is the same by its id", "journal", i.dir, "front", p.front, "id", p.id)
+			j.add(record(recOver, p.seq))
+			continue
 		}
 		n.messages[ref(p.front, p.id)] = p
 		if p.ended != nil {
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -50,7 +50,11 @@
 	if n.wakeAt > 0 {
 		wait = max(n.wakeAt-n.now(), 0)
 	}
-	if n.journal.broken {
+	broken := n.journal.broken
+	for _, j := range n.inherited {
+		broken = broken || j.broken
+	}
+	if broken {
 		wait = min(wait, compactPause)
 	}
 	return wait
@@ -170,7 +174,7 @@
 		case choice.Send:
 			if !a.Joined {
 				begun := n.newCall(a)
-				n.acts = append(n.acts, act{func() { n.begin(ctx, begun) }, func() { n.notBegun(begun) }})
+				n.acts = append(n.acts, act{func() { n.begin(ctx, begun) }, func() { n.notBegun(ctx, begun) }})
 				call = begun
 			}
 			call.legs = append(call.legs, n.leg(a, call.endpoint))
--- a/internal/faults/worth.go
+++ b/internal/faults/worth.go
@@ -15,6 +15,7 @@
 	Calls, Refused   int // calls, and those turned away over the limit
 	Trials           int // calls while it was out, after the first second of that
 	Timely           int // messages delivered within their aim
+	Watches          int // of discovery that are open at the end
 }
 
 // debtor is a partner with a bucket that each call takes from, refused or not, down to a debt.
@@ -92,6 +93,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.worth
+	w.Watches = f.discovery.Open()
 	f.history.mu.Lock()
 	defer f.history.mu.Unlock()
 	for node, numbers := range f.history.took {
--- a/peers/senders.go
+++ b/peers/senders.go
@@ -56,7 +56,21 @@
 		return err
 	}
 	gone := make(chan error, 1)
-	c.work.Go(func() { gone <- c.answers(way, st, name, quiet) })
+	answered := make(chan struct{})
+	c.work.Go(func() { gone <- c.answers(ctx, way, st, name, quiet, answered) })
+	// What comes while a frame is on its way goes together in the next one.
+	settle := func(frames int) error {
+		for range frames {
+			select {
+			case <-answered:
+			case err := <-gone:
+				return err
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+		return nil
+	}
 	alive := time.NewTicker(copyAlive)
 	defer alive.Stop()
 	for {
@@ -73,18 +87,25 @@
 		epoch, end := st.epoch, st.owner.At()
 		c.mu.Unlock()
 		pos += len(send)
-		for _, f := range together(send) {
+		frames := together(send)
+		for _, f := range frames {
 			f.Epoch = epoch
 			if err := way.Send(&f); err != nil {
 				return err
 			}
 		}
+		if err := settle(len(frames)); err != nil {
+			return err
+		}
 		select {
 		case <-more:
 		case <-alive.C:
 			if err := way.Send(&copies.Frame{Stream: st.name, Epoch: epoch, Before: end}); err != nil {
 				return err
 			}
+			if err := settle(1); err != nil {
+				return err
+			}
 		case err := <-gone:
 			return err
 		case <-ctx.Done():
@@ -151,7 +172,7 @@
 }
 
 // answers takes what a holder says, until its way ends.
-func (c *Copies) answers(way copyWay, st *stream, name string, quiet *time.Timer) error {
+func (c *Copies) answers(ctx context.Context, way copyWay, st *stream, name string, quiet *time.Timer, answered chan<- struct{}) error {
 	for {
 		at, v, err := way.Answer()
 		if err != nil {
@@ -170,5 +191,10 @@
 			return fmt.Errorf("it answers: %v", v)
 		}
 		c.kick()
+		select {
+		case answered <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
