--- a/cmd/coralyard/copies.go
+++ b/cmd/coralyard/copies.go
@@ -22,17 +22,9 @@
 var errNoCopies = errors.New("this node has no copies: its file of peers has no part on them")
 
 // Run shows where a node's journal stands, and what the node holds for others.
-func (c *copiesCommand) Run() error {
-	addr, err := c.addr()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
-	defer cancel()
-	st, err := peers.Look(ctx, addr)
-	if err != nil {
-		return err
-	}
+func (c *copiesCommand) Run() error { return c.look(c.print) }
+
+func (c *copiesCommand) print(_ context.Context, st peers.Status) error {
 	if st.Copies == nil {
 		return errNoCopies
 	}
--- a/cmd/coralyard/lease.go
+++ b/cmd/coralyard/lease.go
@@ -62,6 +62,21 @@
 	return link.Dial(addr)
 }
 
+// look asks the node what it knows, and has something done with that while the time for it lasts.
+func (f nodeFlags) look(then func(context.Context, peers.Status) error) error {
+	addr, err := f.addr()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), f.Timeout)
+	defer cancel()
+	st, err := peers.Look(ctx, addr)
+	if err != nil {
+		return err
+	}
+	return then(ctx, st)
+}
+
 // command asks the voters by way of the node.
 func (f nodeFlags) command(c lease.Command) (lease.Result, error) {
 	o, err := f.dial()
@@ -80,17 +95,9 @@
 }
 
 // Run asks the node, or a voter that it knows of where it is none itself.
-func (c *leaseListCommand) Run() error {
-	addr, err := c.addr()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
-	defer cancel()
-	st, err := peers.Look(ctx, addr)
-	if err != nil {
-		return err
-	}
+func (c *leaseListCommand) Run() error { return c.look(c.print) }
+
+func (c *leaseListCommand) print(ctx context.Context, st peers.Status) error {
 	if st.Leases == nil {
 		return peers.ErrNoLeases
 	}
--- a/internal/faults/copies_test.go
+++ b/internal/faults/copies_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -58,48 +57,24 @@
 // copyLength is how long machines are lost in a round.
 const copyLength = 12 * time.Second
 
-func copyRound(t *testing.T, o Options, steps []Step, length time.Duration) {
-	t.Helper()
-	h, took, err := Round(t.Context(), o, steps, length)
-	if h != nil {
-		t.Logf("%s; agreed %v after", h.Summary(), took.Round(time.Millisecond))
-	}
-	if err != nil {
-		for _, s := range steps {
-			t.Log(s)
-		}
-		t.Fatal(err)
-	}
-}
-
 // Machines are lost with their disks, one at a time, while clients hand messages in and partners take calls: every message that was
 // taken on has an end, and no payout runs twice. CORALYARD_COPIES asks for more rounds.
 func TestCopies(t *testing.T) {
-	rounds, seed := number("CORALYARD_COPIES", 3), uint64(number("CORALYARD_SEED", 800))
-	side := make(chan struct{}, 3)
-	for i := range rounds {
-		t.Run(fmt.Sprint("seed ", seed+uint64(i)), func(t *testing.T) {
-			t.Parallel()
-			side <- struct{}{}
-			defer func() { <-side }()
-			o := copyOptions(options(t, seed+uint64(i)))
-			copyRound(t, o, losses(o.Seed, o.Nodes, copyLength), copyLength)
-		})
-	}
+	eachSeed(t, number("CORALYARD_COPIES", 3), uint64(number("CORALYARD_SEED", 800)), func(t *testing.T, o Options) {
+		o = copyOptions(o)
+		logged(t, o, losses(o.Seed, o.Nodes, copyLength), copyLength)
+	})
 }
 
 // The same where two machines are lost with their disks at one instant, of seven that have two further holders each. It runs where
 // CORALYARD_PAIRS names how many rounds.
 func TestCopiesOfPairs(t *testing.T) {
-	rounds, seed := number("CORALYARD_PAIRS", 0), uint64(number("CORALYARD_SEED", 900))
 	const length = 18 * time.Second
-	for i := range rounds {
-		t.Run(fmt.Sprint("seed ", seed+uint64(i)), func(t *testing.T) {
-			o := copyOptions(options(t, seed+uint64(i)))
-			o.Nodes, o.Copies = 7, 2
-			copyRound(t, o, pairs(o.Seed, o.Nodes, length), length)
-		})
-	}
+	eachSeed(t, number("CORALYARD_PAIRS", 0), uint64(number("CORALYARD_SEED", 900)), func(t *testing.T, o Options) {
+		o = copyOptions(o)
+		o.Nodes, o.Copies = 7, 2
+		logged(t, o, pairs(o.Seed, o.Nodes, length), length)
+	})
 }
 
 // The rig can fail: faults of copies that rounds with lost machines find.
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -55,48 +55,54 @@
 	}
 }
 
-// Whatever is done to ways and processes: the rules are kept, the nodes that hear each other keep within the limit together, nothing
-// is lost, and once all is well again they agree. CORALYARD_ROUNDS asks for more rounds, CORALYARD_SEED for other ones, and
-// CORALYARD_SHRINK has a schedule that fails shortened as long as it does.
-func TestRounds(t *testing.T) {
-	rounds, seed := number("CORALYARD_ROUNDS", 8), uint64(number("CORALYARD_SEED", 1))
-	const length = 5 * time.Second
+// eachSeed plays rounds with seeds that follow on each other, four side by side.
+func eachSeed(t *testing.T, rounds int, seed uint64, round func(t *testing.T, o Options)) {
 	side := make(chan struct{}, 4)
-	var mu sync.Mutex
-	var healed []time.Duration
 	t.Run("all", func(t *testing.T) {
 		for i := range rounds {
 			t.Run(fmt.Sprint("seed ", seed+uint64(i)), func(t *testing.T) {
 				t.Parallel()
 				side <- struct{}{}
 				defer func() { <-side }()
-				o := options(t, seed+uint64(i))
-				steps := Draw(o.Seed, o.Nodes, length)
-				h, took, err := Round(t.Context(), o, steps, length)
-				if err != nil {
-					if number("CORALYARD_SHRINK", 0) > 0 {
-						steps = Shrink(steps, func(fewer []Step) bool {
-							again := o
-							again.Folder = t.TempDir()
-							_, _, err := Round(t.Context(), again, fewer, length)
-							return err != nil
-						})
-					}
-					for _, s := range steps {
-						t.Log(s)
-					}
-					if h != nil {
-						t.Log(h.Summary())
-					}
-					t.Fatal(err)
-				}
-				t.Logf("%s; agreed %v after", h.Summary(), took.Round(time.Millisecond))
-				mu.Lock()
-				healed = append(healed, took)
-				mu.Unlock()
+				round(t, options(t, seed+uint64(i)))
 			})
 		}
 	})
+}
+
+// Whatever is done to ways and processes: the rules are kept, the nodes that hear each other keep within the limit together, nothing
+// is lost, and once all is well again they agree. CORALYARD_ROUNDS asks for more rounds, CORALYARD_SEED for other ones, and
+// CORALYARD_SHRINK has a schedule that fails shortened as long as it does.
+func TestRounds(t *testing.T) {
+	rounds, seed := number("CORALYARD_ROUNDS", 8), uint64(number("CORALYARD_SEED", 1))
+	const length = 5 * time.Second
+	var mu sync.Mutex
+	var healed []time.Duration
+	eachSeed(t, rounds, seed, func(t *testing.T, o Options) {
+		steps := Draw(o.Seed, o.Nodes, length)
+		h, took, err := Round(t.Context(), o, steps, length)
+		if err != nil {
+			if number("CORALYARD_SHRINK", 0) > 0 {
+				steps = Shrink(steps, func(fewer []Step) bool {
+					again := o
+					again.Folder = t.TempDir()
+					_, _, err := Round(t.Context(), again, fewer, length)
+					return err != nil
+				})
+			}
+			for _, s := range steps {
+				t.Log(s)
+			}
+			if h != nil {
+				t.Log(h.Summary())
+			}
+			t.Fatal(err)
+		}
+		t.Logf("%s; agreed %v after", h.Summary(), took.Round(time.Millisecond))
+		mu.Lock()
+		healed = append(healed, took)
+		mu.Unlock()
+	})
 	t.Logf("%d rounds", len(healed))
 }
 
@@ -202,10 +208,36 @@
 	}
 }
 
+// Whatever is done to ways and processes, leases among them and the faults aimed at whoever acts: two holders never act at once, as a witness outside
+// the processes sees it, tokens never go back, and once all is well somebody acts again. CORALYARD_LEASES asks for more rounds.
+func TestLeases(t *testing.T) {
+	const length = 6 * time.Second
+	eachSeed(t, number("CORALYARD_LEASES", 6), uint64(number("CORALYARD_SEED", 1)), func(t *testing.T, o Options) {
+		o.Nodes = 5 + 2*int(o.Seed%2)
+		o.Leases, o.Rate = time.Second, 4
+		logged(t, o, DrawLeases(o.Seed, o.Nodes, length), length)
+	})
+}
+
+// logged plays a round, and logs what it consisted of.
+func logged(t *testing.T, o Options, steps []Step, length time.Duration) {
+	t.Helper()
+	h, took, err := Round(t.Context(), o, steps, length)
+	if h != nil {
+		t.Logf("%s; agreed %v after", h.Summary(), took.Round(time.Millisecond))
+	}
+	if err != nil {
+		for _, s := range steps {
+			t.Log(s)
+		}
+		t.Fatal(err)
+	}
+}
+
 // The same where wall clocks are an hour off either way and the clocks' rates differ by as much as the settings say. It builds the program with another
 // package time, and runs where CORALYARD_CLOCKS names how many rounds.
 func TestClocks(t *testing.T) {
-	rounds, seed := number("CORALYARD_CLOCKS", 0), uint64(number("CORALYARD_SEED", 500))
+	rounds := number("CORALYARD_CLOCKS", 0)
 	if rounds == 0 {
 		t.Skip("CORALYARD_CLOCKS is not set")
 	}
@@ -214,24 +246,9 @@
 		t.Fatal(err)
 	}
 	const length = 5 * time.Second
-	side := make(chan struct{}, 4)
-	t.Run("all", func(t *testing.T) {
-		for i := range rounds {
-			t.Run(fmt.Sprint("seed ", seed+uint64(i)), func(t *testing.T) {
-				t.Parallel()
-				side <- struct{}{}
-				defer func() { <-side }()
-				o := options(t, seed+uint64(i))
-				o.Program, o.Clocks, o.Leases = skewed, true, time.Second
-				h, took, err := Round(t.Context(), o, DrawLeases(o.Seed, o.Nodes, length), length)
-				if h != nil {
-					t.Logf("%s; agreed %v after", h.Summary(), took.Round(time.Millisecond))
-				}
-				if err != nil {
-					t.Fatal(err)
-				}
-			})
-		}
+	eachSeed(t, rounds, uint64(number("CORALYARD_SEED", 500)), func(t *testing.T, o Options) {
+		o.Program, o.Clocks, o.Leases = skewed, true, time.Second
+		logged(t, o, DrawLeases(o.Seed, o.Nodes, length), length)
 	})
 }
 
--- a/internal/faults/linear_test.go
+++ b/internal/faults/linear_test.go
@@ -192,25 +192,22 @@
 // What nodes are told of one name, taken, renewed, given back and read through all of them while ways and processes suffer, is as if one
 // register had been asked: a read shows no lease that had ended before it was asked.
 func TestHistories(t *testing.T) {
-	rounds, seed := number("CORALYARD_HISTORIES", 2), uint64(number("CORALYARD_SEED", 40))
-	side := make(chan struct{}, 4)
-	for i := range rounds {
-		t.Run(fmt.Sprint("seed ", seed+uint64(i)), func(t *testing.T) {
-			t.Parallel()
-			side <- struct{}{}
-			defer func() { <-side }()
-			o := options(t, seed+uint64(i))
-			o.Nodes, o.Leases, o.Rate = 5, 600*time.Millisecond, 1
-			all, err := history(t.Context(), o, 4*time.Second)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if err := linear(all); err != nil {
-				t.Error(err)
-			}
-			t.Logf("%d commands", len(all))
-		})
-	}
+	eachSeed(t, number("CORALYARD_HISTORIES", 2), uint64(number("CORALYARD_SEED", 40)), func(t *testing.T, o Options) {
+		all, err := history(t.Context(), historyOptions(o), 4*time.Second)
+		if err == nil {
+			err = linear(all)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%d commands", len(all))
+	})
+}
+
+// historyOptions are of five nodes, whose leases end often.
+func historyOptions(o Options) Options {
+	o.Nodes, o.Leases, o.Rate = 5, 600*time.Millisecond, 1
+	return o
 }
 
 // Faults of leases that rounds of processes find. It takes minutes, and runs where CORALYARD_PLANTED is set, to the most rounds that are played for each.
@@ -233,8 +230,7 @@
 	plantedRounds(t, []plantedFault{
 		{planted.Fault{Name: "a read is served by whoever is asked", File: "peers/lease/node.go", Old: "\t\t\tn.remember(c.Above)\n", New: "\t\t\tn.remember(c.Above)\n\t\t\tif v := n.Voter(); v != nil && c.Do == Read {\n\t\t\t\tl := v.table.Leases[c.Name]\n\t\t\t\tl.Name = c.Name\n\t\t\t\tn.send(Out{To: from, Message: Message{Kind: Tell, Answers: []Answer{{c.Asker, c.Ask, Result{Done: true, Lease: l}}}}})\n\t\t\t\tcontinue\n\t\t\t}\n"}, ErrNotOne},
 	}, func(ctx context.Context, o Options) error {
-		o.Nodes, o.Leases, o.Rate = 5, 600*time.Millisecond, 1
-		all, err := history(ctx, o, 4*time.Second)
+		all, err := history(ctx, historyOptions(o), 4*time.Second)
 		if err != nil {
 			return err
 		}
