Copies: a node leaves for good by a drain; rounds cut owners off before they are lost

Need: no way to switch a node off with its disk but to lose it; rounds hardly met the moment between saying and holding.

--- a/cmd/coralyard/copies.go
+++ b/cmd/coralyard/copies.go
@@ -10,21 +10,65 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"starlingusher/peers"
 )
 
 type copiesCommand struct {
+	Show  copiesShowCommand  `cmd:"" default:"withargs" help:"Show on which further nodes a node's journal stands, and what it holds for others."`
+	Drain copiesDrainCommand `cmd:"" help:"Have a node leave for good: it takes on nothing new, ends what it owes, and others hold what it held. Then it may be switched off with its disk."`
+}
+
+type copiesShowCommand struct {
 	nodeFlags `embed:""`
 	JSON      bool `name:"json" help:"Print JSON."`
 }
 
+type copiesDrainCommand struct {
+	nodeFlags `embed:""`
+	Within    time.Duration `default:"2m" help:"For how long to wait for it. The node goes on leaving all the same."`
+}
+
+const drainPoll = 500 * time.Millisecond
+
+// Run asks until the node is done, and tells how far it is.
+func (c *copiesDrainCommand) Run() error {
+	o, err := c.dial()
+	if err != nil {
+		return err
+	}
+	defer o.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), c.Within)
+	defer cancel()
+	last := ""
+	for {
+		d, err := o.Drain(ctx)
+		if err != nil {
+			return err
+		}
+		if d.Done {
+			fmt.Println("done: nothing is owed, and nobody counts on what this node holds; it may be switched off")
+			return nil
+		}
+		if line := fmt.Sprintf("%d messages open; held for %d others: %s", d.Open, len(d.Holds), strings.Join(d.Holds, ", ")); line != last {
+			fmt.Println(line)
+			last = line
+		}
+		select {
+		case <-time.After(drainPoll):
+		case <-ctx.Done():
+			return fmt.Errorf("not done within %v: %s", c.Within, last)
+		}
+	}
+}
+
 var errNoCopies = errors.New("this node has no copies: its file of peers has no part on them")
 
 // Run shows where a node's journal stands, and what the node holds for others.
-func (c *copiesCommand) Run() error { return c.look(c.print) }
+func (c *copiesShowCommand) Run() error { return c.look(c.print) }
 
-func (c *copiesCommand) print(_ context.Context, st peers.Status) error {
+func (c *copiesShowCommand) print(_ context.Context, st peers.Status) error {
 	if st.Copies == nil {
 		return errNoCopies
 	}
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -31,7 +31,7 @@
 	Recording   recordingCommand   `cmd:"" help:"Tell from a recording why messages waited, were refused or came late."`
 	Peers       peersCommand       `cmd:"" help:"Show what a running node knows of the fleet that it talks with: members, links, rights, judgements."`
 	Lease       leaseCommand       `cmd:"" help:"Show leases of the fleet, end one, or run a command while one is held."`
-	Copies      copiesCommand      `cmd:"" help:"Show on which further nodes a node's journal stands, and what it holds for others."`
+	Copies      copiesCommand      `cmd:"" help:"Show where a node's journal stands, and have a node leave for good."`
 	Lab         labCommand         `cmd:"" passthrough:"" help:"The laboratory: play days of fleets, compare, search. Try: coralyard lab --help."`
 }
 
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -223,22 +223,8 @@
 // decisions. Of a stale journal, which may lack what was done last, each message that may not simply be repeated counts as one that may have run. It returns once that is held, with Copies. A message whose id the engine has already in the same front is passed over and logged. It may be
 // called by many goroutines at a time while the engine runs.
 func (n *Engine) Inherit(ctx context.Context, dir string, stale bool) error {
-	i := inherit{dir: dir, stale: stale, reply: make(chan error, 1)}
-	select {
-	case n.events <- i:
-	case <-n.over:
-		return ErrStopped
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	select {
-	case err := <-i.reply:
-		return err
-	case <-n.over:
-		return ErrStopped
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	err, asked := askLoop(ctx, n, func(reply chan error) any { return inherit{dir: dir, stale: stale, reply: reply} })
+	return errors.Join(asked, err)
 }
 
 func (n *Engine) takeOver(i inherit) []choice.Event {
@@ -294,28 +280,41 @@
 	return events
 }
 
-// Done gives back journals that were inherited and owe nothing more, and returns their folders. It is asked from outside the loop.
+// Done gives back journals that were inherited and owe nothing more, and returns their folders. It may be called by many goroutines at a time.
 func (n *Engine) Done(ctx context.Context) ([]string, error) {
-	reply := make(chan []string, 1)
+	return askLoop(ctx, n, func(reply chan []string) any { return emptied(reply) })
+}
+
+// Open is how many messages the engine still owes something, in all journals. It may be called by many goroutines at a time.
+func (n *Engine) Open(ctx context.Context) (int, error) {
+	return askLoop(ctx, n, func(reply chan int) any { return counted(reply) })
+}
+
+type (
+	emptied chan []string
+	counted chan int
+)
+
+// askLoop asks the loop by an event with a channel for the answer.
+func askLoop[T any](ctx context.Context, n *Engine, event func(reply chan T) any) (answer T, err error) {
+	reply := make(chan T, 1)
 	select {
-	case n.events <- emptied(reply):
+	case n.events <- event(reply):
 	case <-n.over:
-		return nil, ErrStopped
+		return answer, ErrStopped
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return answer, ctx.Err()
 	}
 	select {
-	case all := <-reply:
-		return all, nil
+	case answer = <-reply:
+		return answer, nil
 	case <-n.over:
-		return nil, ErrStopped
+		return answer, ErrStopped
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return answer, ctx.Err()
 	}
 }
 
-type emptied chan []string
-
 func (n *Engine) giveBack(reply emptied) {
 	var all []string
 	for base, j := range n.inherited {
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -104,6 +104,8 @@
 			events = append(events, n.takeOver(e)...)
 		case emptied:
 			n.giveBack(e)
+		case counted:
+			e <- len(n.messages)
 		case retold:
 			n.copyAgain(string(e))
 		case forsaken:
--- a/internal/faults/copies_test.go
+++ b/internal/faults/copies_test.go
@@ -4,6 +4,10 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,8 +25,12 @@
 		if at+gone >= length {
 			return all
 		}
-		kind := []Kind{LoseAll, LoseAll, LoseAll, PutBack, Kill, Pause}[rng.IntN(6)]
-		all = append(all, Step{At: at, For: gone, Kind: kind, A: rng.IntN(nodes)})
+		kind, a := []Kind{LoseAll, LoseAll, LoseAll, PutBack, Kill, Pause}[rng.IntN(6)], rng.IntN(nodes)
+		if kind != Pause && rng.IntN(2) == 0 { // cut off from its holders, and not from clients and partners, when it is lost
+			all = append(all, Step{At: at, For: 400*time.Millisecond + gone, Kind: Mute, A: a})
+			at += 400 * time.Millisecond
+		}
+		all = append(all, Step{At: at, For: gone, Kind: kind, A: a})
 		at += gone + 1500*time.Millisecond
 	}
 }
@@ -77,6 +85,47 @@
 	})
 }
 
+// A node leaves for good under load: it is told to be done once it owes nothing and nobody counts on it, and may then be lost with its disk.
+func TestDrain(t *testing.T) {
+	o := copyOptions(options(t, 32))
+	f, err := Start(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	load, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Load(load)
+	n := f.nodes[2]
+	until(t, f, "its journal is held", func() bool {
+		st, err := f.Look(t.Context(), n.i)
+		return err == nil && st.Copies != nil && len(st.Copies.Own) > 0 && st.Copies.Own[0].Holds
+	})
+	time.Sleep(time.Second) // so that there is something in it
+	cmd := exec.CommandContext(t.Context(), program, "copies", "drain", "--address", n.talk)
+	out, err := cmd.CombinedOutput()
+	if err != nil || !strings.Contains(string(out), "done: nothing is owed") {
+		t.Fatalf("%s, %v", out, err)
+	}
+	t.Logf("%s", out)
+	f.kill(n)
+	if err := os.RemoveAll(filepath.Join(n.folder, "state")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Second)
+	stop()
+	if err := f.Ends(t.Context()); err != nil {
+		t.Error(err)
+	}
+	f.history.mu.Lock()
+	defer f.history.mu.Unlock()
+	for _, c := range f.history.changes {
+		if c.what == heir {
+			t.Errorf("somebody goes on with a journal that was drained: %s", c.text)
+		}
+	}
+}
+
 // The rig can fail: faults of copies that rounds with lost machines find.
 func TestPlantedFaultsOfCopies(t *testing.T) {
 	plantedRounds(t, []plantedFault{
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -319,6 +319,8 @@
 		switch {
 		case strings.Contains(line, `msg="deaf:`):
 			f.history.process(n.i, deaf, line)
+		case strings.Contains(line, `msg="a journal is inherited"`):
+			f.history.process(n.i, heir, line)
 		case strings.Contains(line, `msg="hears the voters"`):
 			f.history.process(n.i, hears, line)
 		case strings.Contains(line, "panic:") || strings.Contains(line, "DATA RACE"):
--- a/internal/faults/gaps_test.go
+++ b/internal/faults/gaps_test.go
@@ -1,7 +1,10 @@
 package faults
 
 import (
+	"context"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -66,3 +69,57 @@
 			gaps[min(trials*99/100, trials-1)].Round(time.Millisecond), gaps[trials-1].Round(time.Millisecond), o.Leases)
 	}
 }
+
+// How long it takes from the loss of a machine with its folder to an heir that goes on with its journal, under load. It runs where CORALYARD_GAPS names
+// how often, and asserts nothing but that there is one.
+func TestHeirs(t *testing.T) {
+	trials := number("CORALYARD_GAPS", 0)
+	if trials == 0 {
+		t.Skip("CORALYARD_GAPS is not set")
+	}
+	o := copyOptions(options(t, 71))
+	f, err := Start(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go f.Load(ctx)
+	heirs := func() (all []time.Time) {
+		f.history.mu.Lock()
+		defer f.history.mu.Unlock()
+		for _, c := range f.history.changes {
+			if c.what == heir {
+				all = append(all, c.at)
+			}
+		}
+		return all
+	}
+	rng := rand.New(rand.NewPCG(71, 1))
+	var gaps []time.Duration
+	for len(gaps) < trials {
+		n := f.nodes[rng.IntN(o.Nodes)]
+		until(t, f, "its journal is held", func() bool {
+			st, err := f.Look(t.Context(), n.i)
+			return err == nil && st.Copies != nil && len(st.Copies.Own) > 0 && st.Copies.Own[0].Holds
+		})
+		time.Sleep(time.Second) // so that there is something in it
+		before, at := len(heirs()), time.Now()
+		f.kill(n)
+		state := filepath.Join(n.folder, "state")
+		if err := os.RemoveAll(state); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.MkdirAll(state, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		until(t, f, "somebody is its heir", func() bool { return len(heirs()) > before })
+		gaps = append(gaps, heirs()[before].Sub(at))
+		if err := f.run(t.Context(), n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	slices.Sort(gaps)
+	t.Logf("%d trials, %v median, %v longest; a term is %v, inherited after %v", trials, gaps[trials/2].Round(time.Millisecond), gaps[trials-1].Round(time.Millisecond), o.Leases, o.Inherit)
+}
--- a/internal/faults/history.go
+++ b/internal/faults/history.go
@@ -24,6 +24,7 @@
 	deaf    // it says so
 	hears   // likewise
 	crashed // it ended by itself, or said that it was about to
+	heir    // it goes on with another's journal
 	past    // it ended because others have gone on with its journal
 	lost    // its folder was taken away or put back from an old copy; it is down
 )
--- a/peers/copies.go
+++ b/peers/copies.go
@@ -42,6 +42,8 @@
 type Engine interface {
 	// Inherit takes on a journal, and with stale whatever may not be repeated in it counts as if it may have run.
 	Inherit(ctx context.Context, dir string, stale bool) error
+	// Open is how many messages it still owes something.
+	Open(ctx context.Context) (int, error)
 	// Done gives back inherited journals that owe nothing more.
 	Done(ctx context.Context) ([]string, error)
 	// Copy has a journal told as a whole.
@@ -72,6 +74,7 @@
 	heard   map[string]time.Duration // streams that are held: when their owners were last heard
 	nodes   []copies.Node            // that are there
 	reading map[string]bool          // streams that are being inherited
+	leaves  bool                     // for good
 }
 
 // ticket waits for some streams.
@@ -95,6 +98,7 @@
 	lazy    bool // frames wait for others, or for the next tick
 	wanted  bool // its lease
 	engine  bool // the engine has it
+	closed  bool // it is noted as over
 	heir    bool // this node has just read it from its holders
 }
 
@@ -273,7 +277,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	st := c.streams[c.state]
-	if st == nil || st.epoch == 0 {
+	if st == nil || st.epoch == 0 || c.leaves {
 		return refuseAfter, false
 	}
 	if _, _, leased := c.s.leases.may(st.name, 0); !leased || !st.owner.Holds(c.s.now()) {
@@ -419,7 +423,7 @@
 		}
 		return
 	}
-	if leased {
+	if leased && !st.closed {
 		self := copies.Node{Name: c.s.self.Name, Machine: c.s.self.Machine, Zone: c.s.self.Zone}
 		st.owner.Choose(copies.Choose(st.name, self, c.nodes, c.cfg.K))
 		if note, ok := st.owner.Ask(now, c.cfg.Alone); ok {
--- a/peers/heirs.go
+++ b/peers/heirs.go
@@ -164,3 +164,47 @@
 		c.s.o.Log.Info("an inherited journal owes nothing more", "stream", st.name)
 	}
 }
+
+// Drain has this node leave for good: it takes on nothing new, ends what it owes, leaves the others so that they choose other holders, and is done once
+// its journal is noted as over and no note names it any more. It is asked again until then.
+func (c *Copies) Drain(ctx context.Context) (link.Drained, error) {
+	c.mu.Lock()
+	if !c.leaves {
+		c.leaves = true
+		c.s.o.Log.Warn("drains: no new messages are taken on; this node is to be switched off for good")
+	}
+	engine, st := c.engine, c.streams[c.state]
+	c.mu.Unlock()
+	if engine == nil || st == nil {
+		return link.Drained{}, errors.New("the node is just starting")
+	}
+	var d link.Drained
+	var err error
+	if d.Open, err = engine.Open(ctx); err != nil {
+		return d, err
+	}
+	if d.Open == 0 {
+		c.s.leave()
+	}
+	for name := range c.store.Lines() {
+		r, err := c.s.leases.command(ctx, lease.Command{Do: lease.Read, Name: name})
+		if err != nil {
+			return d, err
+		}
+		if note := copies.ParseNote(r.Lease.Note); !note.Over && slices.Contains(note.Holders, c.s.self.Name) {
+			d.Holds = append(d.Holds, name)
+		}
+	}
+	slices.Sort(d.Holds)
+	if d.Open > 0 || len(d.Holds) > 0 {
+		return d, nil
+	}
+	c.mu.Lock()
+	note, epoch := st.owner.Note(), st.epoch
+	st.closed = true
+	c.mu.Unlock()
+	note.Over, note.Epoch = true, epoch
+	r, err := c.s.leases.commandAs(ctx, lease.Command{Do: lease.Note, Name: st.name, Token: epoch, Reason: note.String()}, c.life)
+	d.Done = err == nil && r.Done
+	return d, err
+}
--- a/peers/link/copy.go
+++ b/peers/link/copy.go
@@ -26,6 +26,36 @@
 	Take(copies.Frame) (copies.Shelf, copies.Verdict)
 	// Fence has no frame of a smaller epoch be taken, and returns what is held. With epoch 0 it returns the shelf alone.
 	Fence(stream string, epoch uint64) (copies.Shelf, []byte, error)
+	// Drain has the node leave for good, and tells how far it is.
+	Drain(context.Context) (Drained, error)
+}
+
+// Drained is how far a node is with leaving.
+type Drained struct {
+	Open  int      // messages that it still owes something
+	Holds []string // streams whose owners still count on it
+	Done  bool     // it may be switched off, with its disk
+}
+
+// Drain has the node leave for good.
+func (r *receiver) Drain(ctx context.Context, _ *peerspb.DrainRequest) (*peerspb.DrainReply, error) {
+	if r.link.o.Holder == nil {
+		return nil, status.Error(codes.Unimplemented, "this node has no copies")
+	}
+	d, err := r.link.o.Holder.Drain(ctx)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &peerspb.DrainReply{Open: uint64(d.Open), Holds: d.Holds, Done: d.Done}, nil
+}
+
+// Drain has the node leave for good, and tells how far it is.
+func (o *Operator) Drain(ctx context.Context) (Drained, error) {
+	m, err := o.to.Drain(ctx, &peerspb.DrainRequest{})
+	if err != nil {
+		return Drained{}, fmt.Errorf("peers: %s: %w", o.addr, err)
+	}
+	return Drained{int(min(m.GetOpen(), 1<<31)), m.GetHolds(), m.GetDone()}, nil
 }
 
 func chainOf(r *reading, mark uint64, digest []byte) copies.Chain {
--- a/peers/peers.go
+++ b/peers/peers.go
@@ -49,6 +49,8 @@
 	core  *core.Core
 	link  *link.Link
 	looks chan chan Status
+	quits chan struct{} // closed once this node is to leave its fellows for good
+	quit  sync.Once
 	// Of leases; nil where the file has no part on them, or not on that.
 	leases    *leases
 	discovery *Discovery
@@ -89,7 +91,7 @@
 		return nil, fmt.Errorf("peers: %w", err)
 	}
 	s := &Service{
-		o: o, begun: time.Now(), looks: make(chan chan Status), apart: map[int][]string{}, addrs: map[string]string{}, dests: map[int]map[string]int{},
+		o: o, begun: time.Now(), looks: make(chan chan Status), quits: make(chan struct{}), apart: map[int][]string{}, addrs: map[string]string{}, dests: map[int]map[string]int{},
 		news: map[core.Key]fleet.Known{}, fresh: make(chan struct{}, 1),
 		self: member.Record{Name: o.File.Name, Life: binary.LittleEndian.Uint64(seed[:8]) | 1, Addr: o.File.Advertise, Machine: o.File.Machine, Zone: o.File.Zone},
 	}
@@ -158,6 +160,7 @@
 	wait := s.besides(ctx)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	quits := s.quits
 	for {
 		select {
 		case p := <-s.link.Packets():
@@ -174,6 +177,10 @@
 				s.discovery.tick(s.now())
 			}
 			s.publish()
+		case <-quits:
+			quits = nil
+			s.core.Leave(s.now())
+			s.post()
 		case reply := <-s.looks:
 			reply <- s.status()
 		case <-ctx.Done():
@@ -188,6 +195,9 @@
 	}
 }
 
+// leave has this node tell its fellows that it leaves for good, while it still runs.
+func (s *Service) leave() { s.quit.Do(func() { close(s.quits) }) }
+
 // besides starts what a node with leases has beside the service's goroutine. What it returns is called when ctx has ended, and waits: those
 // who act by leases end first, then what is held is given back.
 func (s *Service) besides(ctx context.Context) (wait func()) {
