--- a/peers/lease/holder.go
+++ b/peers/lease/holder.go
@@ -17,7 +17,7 @@
 // # What holds without any clock
 //
 // Tokens: each grant has a larger one than every grant before it. A holder that was stopped between looking and acting is kept
-// from harm by receivers that remember the largest token of a name (Fence) and refuse smaller ones.
+// from harm by receivers that remember the largest token of a name and refuse smaller ones, as package relay and a duty's server do.
 //
 // # Acts
 //
@@ -174,18 +174,3 @@
 	}
 	return g.Token, true
 }
-
-// Fence refuses acts by tokens that are smaller than one that it has seen of the name.
-type Fence struct{ last map[string]uint64 }
-
-// Passes notes the token, and tells whether the act may take effect.
-func (f *Fence) Passes(name string, token uint64) bool {
-	if f.last == nil {
-		f.last = map[string]uint64{}
-	}
-	if token < f.last[name] {
-		return false
-	}
-	f.last[name] = token
-	return true
-}
--- a/peers/relay/relay.go
+++ b/peers/relay/relay.go
@@ -176,6 +176,3 @@
 	}
 	return out
 }
-
-// Followers is how many nodes this one speaks to.
-func (r *Relay) Followers() int { return len(r.followers) }
