Engine: the plain path allocates what it did before copies

Checked: a message's record had grown from 288 to 312 bytes and so into the next size class, twice a message, and each call had a second closure. Change: its number is made of its place, its batch stands in a map that exists with copies alone, a zone lies where there was room; the second closure exists with copies alone.

--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -109,7 +109,7 @@
 // leg journals an attempt; its call is made once that is written.
 func (n *Engine) leg(a choice.Send, e *Endpoint) leg {
 	p := n.message(a.ID)
-	name, now, endpoint := attempt{p.num, len(p.sends)}, time.Now(), ""
+	name, now, endpoint := attempt{p.num(), len(p.sends)}, time.Now(), ""
 	if n.cfg.Keeper != nil {
 		endpoint = e.ID
 	}
--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -257,8 +257,8 @@
 	if p == nil || p.ended != nil {
 		return
 	}
-	if all, ok := fresh[p.num]; ok {
-		delete(fresh, p.num)
+	if all, ok := fresh[p.num()]; ok {
+		delete(fresh, p.num())
 		n.forget(p)
 		reply := Answer{Refused: true, After: e.after}
 		if e.state == Failed {
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -437,7 +437,7 @@
 func (n *Engine) resumed(p *past) choice.Resumed {
 	r := choice.Resumed{Arrived: n.arrived(p, p.deadline), Attempts: len(p.sends), Spare: p.again()}
 	if !p.mayRun.IsZero() {
-		r.Touched, r.MayRun, r.Zone = true, n.at(p.mayRun), p.mayZone
+		r.Touched, r.MayRun, r.Zone = true, n.at(p.mayRun), int(p.mayZone)
 	}
 	for _, s := range p.sends {
 		r.Failed = r.Failed || s.failed
--- a/delivery/engine_test.go
+++ b/delivery/engine_test.go
@@ -378,7 +378,7 @@
 		t.Error("the first one's call has ended the second message")
 	}
 	for a, o := range n.out { // a second attempt of the second message, by then
-		if a.num != n.messages["a"].num {
+		if a.num != n.messages["a"].num() {
 			t.Errorf("a call of message %d is out", a.num)
 		}
 		o.cancel()
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -49,6 +49,7 @@
 	urgent  bool   // something waits for what is written next
 	covered uint64
 	unheld  []*unheld
+	by      map[*past]*unheld // the batch that a message came with, while it is one of those
 	guards  []guarded
 }
 
@@ -120,6 +121,9 @@
 		return events, fresh
 	}
 	u := &unheld{ticket: n.hold.ticket, fresh: fresh}
+	if n.hold.by == nil {
+		n.hold.by = map[*past]*unheld{}
+	}
 	var rest []choice.Event
 	for _, e := range events {
 		id := ""
@@ -133,7 +137,7 @@
 			rest = append(rest, e)
 			continue
 		}
-		n.message(id).unheld = u
+		n.hold.by[n.message(id)] = u
 		u.events = append(u.events, e)
 	}
 	n.hold.unheld = append(n.hold.unheld, u)
@@ -162,7 +166,7 @@
 		n.hold.unheld = n.hold.unheld[1:]
 		for num := range u.fresh {
 			if p := n.byNumber(num); p != nil {
-				p.unheld = nil
+				delete(n.hold.by, p)
 			}
 		}
 		if c.Short {
--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -105,20 +105,21 @@
 		end := newEnd(p)
 		n.acts = append(n.acts, act{do: func() { a.end <- end }})
 		return nil
-	case p != nil && p.unheld != nil: // nor is this one's
+	case p != nil && n.hold.by[p] != nil: // nor is this one's
 		if a.end != nil {
 			p.waiters = append(p.waiters, a.end)
 		}
-		p.unheld.fresh[p.num] = append(p.unheld.fresh[p.num], a)
+		fresh := n.hold.by[p].fresh
+		fresh[p.num()] = append(fresh[p.num()], a)
 		return nil
 	case p != nil && a.end != nil:
 		p.waiters = append(p.waiters, a.end)
-		if fresh[p.num] != nil {
-			fresh[p.num] = append(fresh[p.num], a)
+		if fresh[p.num()] != nil {
+			fresh[p.num()] = append(fresh[p.num()], a)
 		}
 		return nil
-	case p != nil && fresh[p.num] != nil: // its fate is not known yet
-		fresh[p.num] = append(fresh[p.num], a)
+	case p != nil && fresh[p.num()] != nil: // its fate is not known yet
+		fresh[p.num()] = append(fresh[p.num()], a)
 		return nil
 	case p != nil: // taken on before: handed in again it has no second effect
 		n.acts = append(n.acts, act{do: func() { a.reply <- Answer{} }})
@@ -149,7 +150,7 @@
 	p = &past{id: a.ID, key: a.Key, class: a.Class, tenant: a.Tenant, dest: a.Dest, body: a.Body,
 		deadline: a.Came.Add(a.Life), front: a.front.Name, keep: a.Keep}
 	if a.life != nil {
-		p.first, p.mayRun, p.mayZone = a.life.First, a.life.MayRun, a.life.Zone
+		p.first, p.mayRun, p.mayZone = a.life.First, a.life.MayRun, int32(a.life.Zone)
 	}
 	p, err := n.journal.accept(p)
 	if err != nil {
@@ -161,7 +162,7 @@
 	}
 	n.messages[name] = p
 	*n.count(p)++
-	fresh[p.num] = []arrival{a}
+	fresh[p.num()] = []arrival{a}
 	if n.cfg.Recorder != nil {
 		n.cfg.Recorder.Handed(Handed{Name: p.name(), Front: p.front, ID: p.id, Came: n.at(a.Came)})
 	}
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -61,7 +61,6 @@
 // past is all that the journal knows of a message that still owes something.
 type past struct {
 	seq      uint64   // in its journal
-	num      uint64   // among all that the engine has: seq, for its own journal
 	home     *journal // that its records go to
 	id, key  string
 	class    int
@@ -71,16 +70,15 @@
 	deadline time.Time
 	front    string // the way that it came in
 	keep     bool   // its end is owed to whoever asks by its id
+	mayZone  int32  // of a further life, see mayRun; here, where it takes no room
 	sends    []pastSend
 	ended    *ending
 
 	// A further life: the deadline of the first, and the first attempt in any that may have run.
-	first   time.Time // zero in a first life
-	mayRun  time.Time // zero for none
-	mayZone int
+	first  time.Time // zero in a first life
+	mayRun time.Time // zero for none
 
 	// Of this process only.
-	unheld  *unheld    // the batch that it came with, while its record is on its way to further nodes
 	waiters []chan End // of those who handed it in and wait for its end
 	lastErr error      // what its last attempt met
 	wait    time.Time  // until when its destination asked to be left alone, as its attempts were told
@@ -123,8 +121,11 @@
 	endpoint string // empty for the destination
 }
 
+// num is the message's number among all that the engine has: seq, for its own journal.
+func (p *past) num() uint64 { return p.home.base | p.seq }
+
 // name is what the module calls the message. Ids may come again; numbers don't.
-func (p *past) name() string { return strconv.FormatUint(p.num, 10) }
+func (p *past) name() string { return strconv.FormatUint(p.num(), 10) }
 
 // numOf reads a name; no message has number 0.
 func numOf(name string) uint64 {
@@ -275,7 +276,7 @@
 
 // message reads what all records begin with that take a message on; messageRecord writes it.
 func (f *fields) message(seq uint64) *past {
-	return &past{seq: seq, num: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
+	return &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
 		deadline: f.time(), body: f.bytes()}
 }
 
@@ -331,7 +332,7 @@
 		p = f.message(seq)
 		p.front, p.first = string(f.bytes()), f.time()
 		if f.number() == 1 {
-			p.mayRun, p.mayZone = f.time(), int(f.number())
+			p.mayRun, p.mayZone = f.time(), int32(f.number())
 		}
 		if len(f.b) > 0 {
 			p.tenant = int(f.number())
@@ -382,7 +383,7 @@
 
 // own makes a message one of this journal's.
 func (j *journal) own(p *past) *past {
-	p.num, p.home = j.base|p.seq, j
+	p.home = j
 	return p
 }
 
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -176,7 +176,11 @@
 		case choice.Send:
 			if !a.Joined {
 				begun := n.newCall(a)
-				n.acts = append(n.acts, act{func() { n.begin(ctx, begun) }, func() { n.notBegun(ctx, begun) }})
+				a := act{do: func() { n.begin(ctx, begun) }}
+				if n.cfg.Copies != nil {
+					a.instead = func() { n.notBegun(ctx, begun) }
+				}
+				n.acts = append(n.acts, a)
 				call = begun
 			}
 			call.legs = append(call.legs, n.leg(a, call.endpoint))
