One ask of the engine's loop, one run of guarded acts, no wrappers of ways to holders

Change: ask calls askLoop; guarded.run serves both; copies, heirs and senders call link directly. Behaviour is as it was, no test is touched.

--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -120,22 +120,10 @@
 	if q.front = n.fronts[front]; q.front == nil {
 		return nil, fmt.Errorf("%w: %q", ErrUnknownFront, front)
 	}
-	q.reply = make(chan []found, 1)
-	select {
-	case n.events <- q:
-	case <-n.over:
-		return nil, ErrStopped
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-	select {
-	case all := <-q.reply:
-		return all, nil
-	case <-n.over:
-		return nil, ErrStopped
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return askLoop(ctx, n, func(reply chan []found) any {
+		q.reply = reply
+		return q
+	})
 }
 
 // answer looks ends up, and forgets those that are acknowledged once that is written.
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -38,6 +38,20 @@
 	byes   []chan struct{}
 }
 
+// run does the acts, or what stands instead of them where their records can't be held.
+func (g guarded) run(short bool) {
+	for _, a := range g.acts {
+		if short && a.instead != nil {
+			a.instead()
+		} else {
+			a.do()
+		}
+	}
+	for _, b := range g.byes {
+		close(b)
+	}
+}
+
 // act is something that the records before it guard. Instead is done where those can't be held, nil for the act itself.
 type act struct {
 	do, instead func()
@@ -104,12 +118,7 @@
 // guard does acts once all that was written so far is held.
 func (n *Engine) guard(acts []act, byes []chan struct{}) {
 	if n.cfg.Copies == nil || n.hold.ticket <= n.hold.covered {
-		for _, a := range acts {
-			a.do()
-		}
-		for _, b := range byes {
-			close(b)
-		}
+		guarded{acts: acts, byes: byes}.run(false)
 		return
 	}
 	n.hold.guards = append(n.hold.guards, guarded{n.hold.ticket, slices.Clone(acts), slices.Clone(byes)})
@@ -150,16 +159,7 @@
 	for len(n.hold.guards) > 0 && n.hold.guards[0].ticket <= n.hold.covered {
 		g := n.hold.guards[0]
 		n.hold.guards = n.hold.guards[1:]
-		for _, a := range g.acts {
-			if c.Short && a.instead != nil {
-				a.instead()
-			} else {
-				a.do()
-			}
-		}
-		for _, b := range g.byes {
-			close(b)
-		}
+		g.run(c.Short)
 	}
 	for len(n.hold.unheld) > 0 && n.hold.unheld[0].ticket <= n.hold.covered {
 		u := n.hold.unheld[0]
--- a/peers/copies.go
+++ b/peers/copies.go
@@ -19,6 +19,7 @@
 	"starlingusher/peers/copies"
 	"starlingusher/peers/copies/shelf"
 	"starlingusher/peers/lease"
+	"starlingusher/peers/link"
 	"starlingusher/peers/member"
 )
 
@@ -196,7 +197,7 @@
 	}
 	for _, h := range note.Holders {
 		ctx, cancel := context.WithTimeout(ctx, copyPatience)
-		s, _, err := linkFence(ctx, c.s.address(h), name, 0)
+		s, _, err := link.Fence(ctx, c.s.address(h), name, 0)
 		cancel()
 		if err == nil && (s.At.Mark > at.Mark || s.At.Mark == at.Mark && s.At.Digest != at.Digest) {
 			return h + " holds more of it"
--- a/peers/heirs.go
+++ b/peers/heirs.go
@@ -15,15 +15,6 @@
 	"starlingusher/peers/link"
 )
 
-// copyWay is a way to a holder.
-type copyWay = *link.CopyWay
-
-func linkOpenCopy(ctx context.Context, addr string) (copyWay, error) { return link.OpenCopy(ctx, addr) }
-
-func linkFence(ctx context.Context, addr, stream string, epoch uint64) (copies.Shelf, []byte, error) {
-	return link.Fence(ctx, addr, stream, epoch)
-}
-
 // heirs asks for the leases of streams that are held here and whose owners are not heard, and goes on with those that it gets.
 func (c *Copies) heirs(ctx context.Context, now time.Duration) {
 	c.mu.Lock()
@@ -99,7 +90,7 @@
 			at, records[h], err = c.store.Fence(name, token)
 		} else {
 			within, cancel := context.WithTimeout(ctx, copyPatience)
-			at, records[h], err = linkFence(within, c.s.address(h), name, token)
+			at, records[h], err = link.Fence(within, c.s.address(h), name, token)
 			cancel()
 		}
 		if err == nil {
--- a/peers/senders.go
+++ b/peers/senders.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"starlingusher/peers/copies"
+	"starlingusher/peers/link"
 )
 
 // sendTo has a holder told a stream, until ctx ends.
@@ -34,7 +35,7 @@
 	if addr == "" {
 		return errors.New("its address is not known")
 	}
-	way, err := linkOpenCopy(ctx, addr)
+	way, err := link.OpenCopy(ctx, addr)
 	if err != nil {
 		return err
 	}
@@ -172,7 +173,7 @@
 }
 
 // answers takes what a holder says, until its way ends.
-func (c *Copies) answers(ctx context.Context, way copyWay, st *stream, name string, quiet *time.Timer, answered chan<- struct{}) error {
+func (c *Copies) answers(ctx context.Context, way *link.CopyWay, st *stream, name string, quiet *time.Timer, answered chan<- struct{}) error {
 	for {
 		at, v, err := way.Answer()
 		if err != nil {
