Log every attempt that fails, refusal, close and change of health, at a bounded rate

Change: lines with the client's message id for attempts that did not pass, refusals, undelivered ends, closed client connections with the reason, failed accepts, and a line for each change of a route's health with its reason, failures and slow-start rate. package ratelog passes 50 lines a second of each message and counts the dropped. choice.Sender.HealthChanges tells the changes of the last step; no decision changes.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 
 // Step takes the events of a moment and returns what to do about them, in order.
 func (s *Sender) Step(now time.Duration, events []Event) []Action {
-	s.now, s.actions = now, nil
+	s.now, s.actions, s.healthChanges = now, nil, nil
 	// Lists first: a drain acts in the step that told of it, whatever stands before it in the batch.
 	for _, e := range events {
 		if l, ok := e.(Listed); ok {
@@ -122,7 +122,7 @@
 			d.endpoints = append(d.endpoints, e)
 			d.kind, d.single = entry.Kind, entry.Single
 			if e.route = d.shared; s.apart(d) {
-				e.route = newRoute()
+				e.route = newRoute(d.id, e.id)
 				e.route.waitUntil = s.parted[e.id] // the only thing that outlasts a route's leaving
 			}
 		}
@@ -135,7 +135,10 @@
 	s.forget()
 }
 
-func newRoute() *route { return &route{tokens: 1} }
+// newRoute returns a healthy route of a destination, or of one endpoint that is a route apart.
+func newRoute(dest int, endpoint string) *route {
+	return &route{dest: dest, endpoint: endpoint, tokens: 1}
+}
 
 // arrived admits a message or refuses it at once.
 func (s *Sender) arrived(e Arrived) {
@@ -216,8 +219,10 @@
 	}
 	for _, ep := range d.endpoints {
 		if r := ep.route; e.Failed && !r.recovering() {
+			before := r.health()
 			s.strike(r)
 			r.sick, r.coldFrom = false, s.now
+			s.noteHealth(r, before, "an attempt before the restart failed")
 		}
 	}
 	s.hold(m, e.Key)
@@ -627,7 +632,9 @@
 		}
 		silent := !torn && !harmless && s.now-r.failedAt >= s.t.SickSpan
 		if sure || ((silent || float64(fails) >= s.failing.Run(least)) && !s.mayPass(ep.dest, r)) {
+			before := r.health()
 			s.strike(r)
+			s.noteHealth(r, before, "failures in a row")
 			ep.narrow(s.now)
 		}
 	} else if s.now >= r.trialAt {
@@ -672,6 +679,7 @@
 	r.passed++
 	r.part.Passed(s.now, s.cfg.Fleet, r.left)
 	brief := r.gap.Passed(s.now, work)
+	before := r.health()
 	switch {
 	case r.sick && s.now < r.toldUntil: // told to be left alone: the call was out before
 	case r.sick && brief:
@@ -681,6 +689,7 @@
 	case r.coldFrom > 0 && s.now-r.coldFrom > s.cfg.WarmWithin:
 		r.coldFrom = 0
 	}
+	s.noteHealth(r, before, "a call passed")
 }
 
 // capacity is a careful guess of what the route takes a second from all senders when it is warm.
--- a/choice/state.go
+++ b/choice/state.go
@@ -54,6 +54,8 @@
 	fade    float64
 	failing outage.Share
 	actions []Action
+	// healthChanges are those of the last step.
+	healthChanges []HealthChange
 }
 
 // keyRest is a key's rest as it was when it began; a later one may have prolonged it.
@@ -102,6 +104,8 @@
 
 // route is what limits, waits and outages bind: a destination, or an endpoint that is a route apart.
 type route struct {
+	dest      int
+	endpoint  string        // empty for all endpoints of the destination
 	waitUntil time.Duration // rule six, and rests of our own after refusals that told no wait
 	toldUntil time.Duration // the part of it that was told
 	limit     float64       // calls a second as reported
@@ -234,7 +238,7 @@
 func (s *Sender) destination(id int) *destination {
 	d := s.dests[id]
 	if d == nil {
-		d = &destination{id: id, shared: newRoute(), places: [2]int{-1, -1}}
+		d = &destination{id: id, shared: newRoute(id, ""), places: [2]int{-1, -1}}
 		s.dests[id] = d
 		s.vacate(d)
 	}
@@ -323,7 +327,7 @@
 	if r.limit == 0 {
 		past.Capacity = r.busiest
 	}
-	how, fresh := idle.Back(past), newRoute()
+	how, fresh := idle.Back(past), newRoute(r.dest, r.endpoint)
 	s.strike(fresh)
 	fresh.weight, fresh.waitUntil, fresh.busiest = r.weight, s.now+how.Wait, how.Capacity
 	if r.limit > 0 && how.Capacity > 0 {
--- a/choice/types.go
+++ b/choice/types.go
@@ -88,6 +88,16 @@
 	Stale
 )
 
+var outcomeNames = [...]string{"pass", "fault", "no room", "too slow", "no route", "cut", "undone", "stale"}
+
+// String names the outcome.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "unknown"
+}
+
 // Report is what an endpoint says of its limit. A missing value has its flag off.
 type Report struct {
 	Left, Limit       float64 // share of the limit left; the limit in calls a second, 0 for none
@@ -236,6 +246,16 @@
 	ByRoom                  // its destination holds more than the room that is left for all
 )
 
+var refusalNames = [...]string{"given up", "gate", "room"}
+
+// String names the reason.
+func (r Refusal) String() string {
+	if int(r) < len(refusalNames) {
+		return refusalNames[r]
+	}
+	return "unknown"
+}
+
 // Fail ends a message and promises nothing.
 type Fail struct{ ID string }
 
--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -19,6 +19,7 @@
 
 	"starlingusher/daemon"
 	"starlingusher/internal/demo"
+	"starlingusher/internal/ratelog"
 	"starlingusher/undelivered/recovery"
 	"starlingusher/undelivered/rules"
 )
@@ -55,6 +56,9 @@
 	return err
 }
 
+// logLinesPerSecond bounds the node's log lines of one message.
+const logLinesPerSecond = 50
+
 func main() {
 	if len(os.Args) > 1 {
 		k := kong.Parse(&tool{}, kong.Name("coralyard"), kong.Description(
@@ -65,7 +69,7 @@
 		}
 		return
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(ratelog.New(slog.NewTextHandler(os.Stderr, nil), logLinesPerSecond))
 	if err := run(log); err != nil {
 		log.Error("coralyard ends", "err", err)
 		os.Exit(1)
--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -66,6 +66,7 @@
 		Wait: e.Wait, NoSlot: e.NoSlot, Report: e.Report, Kept: e.Kept, HungUp: e.HungUp,
 	}
 	ominous := n.sender.Ominous(m.dest, ended)
+	n.logAttempt(m, e, outcome, ominous)
 	if n.cfg.Shared != nil && e.first {
 		n.sight(e, m.dest, outcome, ominous)
 	}
--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -183,6 +183,7 @@
 	f := n.fronts[p.front]
 	waiters := p.waiters
 	p.waiters = nil
+	n.logEnd(p, e)
 	n.note(p, e)
 	wanted = wanted && !p.again()
 	// A sink hears of what did not get through; without one all ends are kept.
@@ -240,13 +241,14 @@
 
 // end gives a message the final answer that the module has decided on: to its client if that still waits to hear
 // whether it is taken on, and by its end otherwise.
-func (n *Engine) end(id string, e ending, fresh newcomers) {
+func (n *Engine) end(id string, e ending, why choice.Refusal, fresh newcomers) {
 	p := n.message(id)
 	if p == nil || p.ended != nil {
 		return
 	}
 	if all, ok := fresh[p.num()]; ok {
 		delete(fresh, p.num())
+		n.logRefusal(p.id, p.class, p.dest, why.String(), e.after)
 		n.forget(p)
 		reply := Answer{Refused: true, After: e.after}
 		if e.state == Failed {
--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -175,6 +175,7 @@
 }
 
 func (n *Engine) turnAwayFor(a arrival, why string, after time.Duration) Answer {
+	n.logRefusal(a.ID, a.Class, a.Dest, why, after)
 	if n.cfg.Recorder != nil {
 		n.cfg.Recorder.Turned(Turned{At: n.now(), Came: n.at(a.Came), Front: a.front.Name, ID: a.ID, Class: a.Class,
 			Tenant: a.Tenant, Dest: a.Dest, After: after, Why: why})
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -171,6 +171,7 @@
 	if n.cfg.Recorder != nil {
 		n.cfg.Recorder.Stepped(now, events, actions)
 	}
+	n.logHealth()
 	for _, a := range actions {
 		switch a := a.(type) {
 		case choice.Send:
@@ -185,9 +186,9 @@
 			}
 			call.legs = append(call.legs, n.leg(a, call.endpoint))
 		case choice.PushBack:
-			n.end(a.ID, ending{state: Returned, after: a.RetryAfter}, fresh)
+			n.end(a.ID, ending{state: Returned, after: a.RetryAfter}, a.Why, fresh)
 		case choice.Fail:
-			n.end(a.ID, ending{state: Failed}, fresh)
+			n.end(a.ID, ending{state: Failed}, choice.Admitted, fresh)
 		case choice.Cancel:
 			n.acts = append(n.acts, act{do: func() {
 				if c, ok := n.out[attempt{numOf(a.ID), a.Attempt}]; ok {
--- /dev/null
+++ b/delivery/signals.go
@@ -0,0 +1,53 @@
+package delivery
+
+import (
+	"log/slog"
+	"time"
+
+	"starlingusher/choice"
+)
+
+// The lines below tell, by the ids that clients gave, what became of each attempt that did not pass, each refusal and each
+// message that ended undelivered, and what the decisions believe of a route. What passes is not logged.
+
+// logAttempt logs an attempt that did not pass.
+func (n *Engine) logAttempt(m *past, e called, outcome choice.Outcome, ominous bool) {
+	if outcome == choice.Pass {
+		return
+	}
+	attrs := []any{"message", m.id, "destination", m.dest, "endpoint", e.endpoint.ID, "attempt", e.n, "outcome", outcome.String(),
+		"failure", ominous, "took", e.took.Round(time.Microsecond), "kept_connection", e.Kept}
+	if e.Wait > 0 {
+		attrs = append(attrs, "told_wait", e.Wait)
+	}
+	if e.Err != nil {
+		attrs = append(attrs, "err", e.Err.Error())
+	}
+	n.log.Info("attempt ended", attrs...)
+}
+
+// logHealth logs what the last step changed of the health of routes.
+func (n *Engine) logHealth() {
+	for _, c := range n.sender.HealthChanges() {
+		n.log.Info("route health", "destination", c.Dest, "endpoint", c.Endpoint, "from", c.From.String(), "to", c.To.String(),
+			"reason", c.Reason, "failures", c.Failures, "failing_for", c.Failing, slog.Float64("rate_per_s", c.Rate))
+	}
+}
+
+// logRefusal logs a message that was not taken on.
+func (n *Engine) logRefusal(id string, class, dest int, why string, after time.Duration) {
+	n.log.Info("message refused", "message", id, "class", class, "destination", dest, "reason", why, "come_after", after)
+}
+
+// logEnd logs a message that was taken on and ends undelivered.
+func (n *Engine) logEnd(p *past, e ending) {
+	if e.state == Delivered {
+		return
+	}
+	attrs := []any{"message", p.id, "class", p.class, "destination", p.dest, "state", e.state.String(), "attempts", len(p.sends),
+		"time_left", time.Until(p.deadline).Round(time.Millisecond)}
+	if p.lastErr != nil {
+		attrs = append(attrs, "last_err", p.lastErr.Error())
+	}
+	n.log.Info("message ended undelivered", attrs...)
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"slices"
@@ -264,6 +265,7 @@
 	readAt time.Time // when the last bytes came
 	looks  int
 	used   bool           // it has had an answer
+	asked  string         // why it was asked to end; the clients' lock guards it
 	place  *queue.Element // among those with no request open
 }
 
@@ -340,6 +342,7 @@
 	served chan struct{} // closed when nothing more is accepted
 	names  wire.Names
 	offer  func(delivery.Message) func() delivery.Answer
+	log    *slog.Logger
 
 	mu     sync.Mutex
 	open   map[*session]bool
@@ -348,10 +351,10 @@
 	wg     sync.WaitGroup
 }
 
-func newClients(ln net.Listener, most int, names wire.Names, offer func(delivery.Message) func() delivery.Answer) *clients {
+func newClients(ln net.Listener, most int, names wire.Names, log *slog.Logger, offer func(delivery.Message) func() delivery.Answer) *clients {
 	return &clients{
 		ln: ln, room: make(chan struct{}, max(most, 1)), keep: max(most/3, 1), stop: make(chan struct{}), served: make(chan struct{}),
-		names: names, offer: offer, open: map[*session]bool{},
+		names: names, offer: offer, log: log, open: map[*session]bool{},
 	}
 }
 
@@ -378,6 +381,9 @@
 		nc, err := c.ln.Accept()
 		if err != nil {
 			<-c.room
+			if !errors.Is(err, net.ErrClosed) {
+				c.log.Warn("accept failed", "err", err)
+			}
 			if errors.Is(err, net.ErrClosed) || !sleep(ctx, firstBackoff) { // out of descriptors, most likely
 				return
 			}
@@ -396,15 +402,16 @@
 	defer c.mu.Unlock()
 	for i := range c.idle {
 		if c.idle[i].Len() > 0 {
-			c.askBack(&c.idle[i])
+			c.askBack(&c.idle[i], "all places are taken")
 			return
 		}
 	}
 }
 
 // askBack ends the longest idle session of a list that holds one; the lock is held.
-func (c *clients) askBack(idle *queue.List) {
+func (c *clients) askBack(idle *queue.List, why string) {
 	s := idle.Front().Value.(*session)
+	s.asked = why
 	c.unplace(s)
 	s.SetReadDeadline(time.Unix(1, 0)) // not closed from here: see Read
 }
@@ -425,7 +432,7 @@
 	}
 	s.place, s.looks = c.idle[i].PushBack(s), 0
 	if c.idle[1].Len() > c.keep {
-		c.askBack(&c.idle[1])
+		c.askBack(&c.idle[1], "too many idle connections")
 	}
 	return true
 }
@@ -435,7 +442,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unplace(s)
-	s.looks = 0
+	s.looks, s.asked = 0, ""
 	return s.SetReadDeadline(time.Now().Add(requestTimeout)) == nil
 }
 
@@ -453,27 +460,35 @@
 	c.mu.Lock()
 	c.open[s] = true
 	c.mu.Unlock()
+	requests := 0
+	reason := ""
 	defer func() {
 		c.mu.Lock()
 		c.unplace(s)
 		delete(c.open, s)
+		asked := s.asked
 		c.mu.Unlock()
 		nc.Close()
+		c.log.Info("client connection closed", "client", nc.RemoteAddr().String(), "reason", reason, "asked", asked, "requests", requests)
 	}()
 	r := bufio.NewReaderSize(s, 4096)
 	for {
 		if r.Buffered() == 0 && !c.rest(s) {
-			s.flush() // the node leaves
+			reason = "the node leaves"
+			s.flush()
 			return
 		}
 		if _, err := r.Peek(1); err != nil {
+			reason = "no request: " + err.Error()
 			return
 		}
 		came := s.readAt
 		if !c.begin(s) {
+			reason = "the connection can't be read"
 			s.flush()
 			return
 		}
+		requests++
 		args, err := readCommand(r)
 		var p promise
 		switch {
@@ -485,14 +500,17 @@
 			if !errors.Is(err, errProtocol) {
 				err = fmt.Errorf("%w: the request took too long", errProtocol)
 			}
+			reason = err.Error()
 			if s.say(failed(err)) == nil && s.flush() == nil {
 				c.linger(s)
 			}
 			return
 		default:
-			return // the client went away inside a request
+			reason = "inside a request: " + err.Error()
+			return
 		}
-		if s.say(p) != nil {
+		if err := s.say(p); err != nil {
+			reason = "the answer can't be written: " + err.Error()
 			return
 		}
 	}
@@ -540,7 +558,9 @@
 	c.closed = true
 	for i := range c.idle {
 		for e := c.idle[i].Front(); e != nil; e = e.Next() {
-			e.Value.(*session).SetReadDeadline(time.Unix(1, 0)) // see Read
+			s := e.Value.(*session)
+			s.asked = "the node leaves"
+			s.SetReadDeadline(time.Unix(1, 0)) // see Read
 		}
 	}
 	c.mu.Unlock()
@@ -548,6 +568,7 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		for s := range c.open {
+			s.asked = "the node leaves, and its request is not whole"
 			s.Close()
 		}
 	})
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"runtime"
@@ -32,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClients(ln, most, wire.Names{Classes: []string{"notice"}}, offer)
+	c := newClients(ln, most, wire.Names{Classes: []string{"notice"}}, slog.New(slog.DiscardHandler), offer)
 	go c.serve(t.Context())
 	t.Cleanup(func() {
 		select {
