Soak rig and a failing test: returning servers get more than their slow-start budget

Faults: five kinds of outage, SIGTERM with the kill at the earliest time, SIGKILL, SIGSTOP, replaced endpoints, discovery down or moved, crowds, half requests. Eight rules are checked on what clients, servers and discovery saw. Traces: nodes below their run of failures and restarted ones send bursts of up to six calls, slots that hung calls held are freed at the return, nodes turned away by a shut server go on at their part of the warm limit, and the paces of paced nodes sum up to a third above the budget.

--- /dev/null
+++ b/internal/faults/soak/day.go
@@ -0,0 +1,191 @@
+// Package soak plays seeded days of a fleet in which faults happen to processes, servers, discovery and clients, with real
+// processes of the program on loopback addresses, and checks what came of each request against the rules of the platform.
+package soak
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Effect tells what a repeat of a message may do at its server.
+type Effect string
+
+// The effects, as the settings name them.
+const (
+	Idempotent   Effect = "idempotent"
+	Deduplicated Effect = "deduplicated"
+	AtMostOnce   Effect = "at_most_once"
+)
+
+// Class is a kind of message.
+type Class struct {
+	Name     string
+	Effect   Effect
+	Share    float64       // of the messages
+	Deadline time.Duration // from the hand-in
+	Window   time.Duration // Deduplicated: how long repeats are dropped
+}
+
+// Server is a destination with one endpoint at a time.
+type Server struct {
+	Limit   float64       // calls a second that it takes when warm
+	Service time.Duration // mean time of a call when warm
+	Share   float64       // of the messages
+	Weight  float64       // that discovery tells, in calls a second; it may be half too high or too low
+}
+
+// Kind is a kind of fault.
+type Kind uint8
+
+// The faults.
+const (
+	Refuse    Kind = iota // a server refuses connections and resets those that are open, and comes back cold
+	Hang                  // a server reads requests and answers none; its connections are reset when it comes back cold
+	Fail                  // a server answers all calls with 500, and is cold afterwards
+	Shut                  // a server refuses all calls with 503, and is cold afterwards
+	Vanish                // connections to a server are neither accepted nor refused; it comes back cold
+	Terminate             // SIGTERM, SIGKILL at the earliest time that the platform allows, and a new process
+	Kill                  // SIGKILL, and a new process
+	Stop                  // SIGSTOP for a moment
+	Replace               // the endpoint of a server drains, and goes; another takes its place
+	Move                  // discovery moves, and SIGHUP tells the node
+	Silence               // discovery is down: it answers nothing, and learns nothing
+	Crowd                 // idle clients connect to a node and stay
+	Halves                // clients send half of a request and stay
+	kinds
+)
+
+var kindNames = [kinds]string{"refuse", "hang", "fail", "shut", "vanish", "terminate", "kill", "stop", "replace", "move", "silence", "crowd", "halves"}
+
+// String names the kind.
+func (k Kind) String() string {
+	if k < kinds {
+		return kindNames[k]
+	}
+	return "unknown"
+}
+
+// outage tells that a server is cold after the fault.
+func (k Kind) outage() bool { return k <= Vanish }
+
+// Fault is a fault of a day.
+type Fault struct {
+	Kind   Kind
+	At     time.Duration // from the day's begin
+	For    time.Duration
+	Target int // the number of a node or of a server
+}
+
+// String is the fault in a line.
+func (f Fault) String() string {
+	return fmt.Sprintf("%8.3f s %s %d for %.3f s", f.At.Seconds(), f.Kind, f.Target, f.For.Seconds())
+}
+
+// Day is what is played. All of it follows from the seed.
+type Day struct {
+	Seed    uint64
+	Length  time.Duration
+	Nodes   int
+	Shares  []float64 // of the messages, by node
+	Slots   int
+	MaxOpen int
+	Rate    float64 // messages a second over all nodes
+	Classes []Class
+	Servers []Server
+	Faults  []Fault
+
+	ColdFrom float64       // share of its limit that a server has when it comes back
+	WarmIn   time.Duration // until it has all of it
+}
+
+// The rules' figures, as the settings tell them to nodes.
+const (
+	fallMultiple   = 1.5
+	fallSpan       = 2 * time.Second
+	drainGrace     = 250 * time.Millisecond
+	ruleSlack      = 50 * time.Millisecond // of each limit on sockets
+	lostSlack      = 300 * time.Millisecond
+	restartGrace   = 1500 * time.Millisecond // after a node is ready again
+	readyWithin    = 10 * time.Second
+	killAfter      = 3700 * time.Millisecond // after SIGTERM, at the earliest
+	startAfter     = 600 * time.Millisecond  // after SIGKILL
+	answerPatience = 400 * time.Millisecond  // of clients
+	answerLongest  = 3 * time.Second         // after which a request counts as never answered
+	waitSlack      = 100 * time.Millisecond  // in which calls after a told wait are let through
+)
+
+// budget is how many calls a cold server bears within fallSpan that could do n of them.
+func budget(n float64) float64 {
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// Draw draws a day of so many nodes and servers, without faults.
+func Draw(seed uint64, nodes, servers int, rate float64, length time.Duration) *Day {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	uniform := func(low, high float64) float64 { return low + (high-low)*rng.Float64() }
+	d := &Day{Seed: seed, Length: length, Nodes: nodes, Slots: 4 + rng.IntN(3), MaxOpen: 37 + rng.IntN(16), Rate: rate,
+		ColdFrom: uniform(0.15, 0.3), WarmIn: time.Duration(uniform(8, 11) * float64(time.Second))}
+	total := 0.0
+	for range nodes {
+		share := uniform(0.3, 1.7)
+		d.Shares = append(d.Shares, share)
+		total += share
+	}
+	for i := range d.Shares {
+		d.Shares[i] /= total
+	}
+	deadline := time.Duration(uniform(10, 28) * float64(time.Second))
+	d.Classes = []Class{
+		{Name: "table-status", Effect: Idempotent, Share: 0.45, Deadline: deadline},
+		{Name: "coin-order", Effect: Deduplicated, Share: 0.35, Deadline: deadline, Window: time.Duration(uniform(2, 8) * float64(time.Second))},
+		{Name: "prize-payout", Effect: AtMostOnce, Share: 0.2, Deadline: deadline},
+	}
+	weights := make([]float64, servers)
+	sum := 0.0
+	for i := range weights {
+		weights[i] = math.Pow(float64(i+1), -0.9)
+		sum += weights[i]
+	}
+	load := uniform(0.5, 0.65)
+	for _, w := range weights {
+		limit := max(rate/load*w/sum, uniform(2, 5))
+		d.Servers = append(d.Servers, Server{Limit: limit, Service: time.Duration(uniform(40, 140) * float64(time.Millisecond)),
+			Share: w / sum, Weight: limit * uniform(0.7, 1.45)})
+	}
+	return d
+}
+
+// warmth is the share of its limit that a server has a time after it came back.
+func (d *Day) warmth(since time.Duration) float64 {
+	return min(1, d.ColdFrom+(1-d.ColdFrom)*since.Seconds()/d.WarmIn.Seconds())
+}
+
+// outageDay is a day on which servers fail for ten seconds and return cold, while nodes are restarted and endpoints replaced.
+func outageDay(seed uint64) *Day {
+	const begins, lasts = 6 * time.Second, 10 * time.Second
+	rng := rand.New(rand.NewPCG(seed, 2))
+	d := Draw(seed, 33, 40, 120, 26*time.Second)
+	order := rng.Perm(len(d.Servers))
+	for _, s := range order[:4+rng.IntN(12)] {
+		d.Faults = append(d.Faults, Fault{Kind: Kind(rng.IntN(int(Vanish) + 1)), At: begins, For: lasts, Target: s})
+	}
+	for i := range 4 {
+		at := begins - 1700*time.Millisecond + time.Duration(i)*450*time.Millisecond
+		d.Faults = append(d.Faults, Fault{Kind: Replace, At: at, For: 8 * time.Second, Target: order[len(order)-1-i]})
+	}
+	restarts := rng.Perm(d.Nodes)
+	for i, n := range restarts[:rng.IntN(d.Nodes)] {
+		kind := Terminate
+		if i%2 == 1 {
+			kind = Kill
+		}
+		at := begins + 2*time.Second + time.Duration(rng.Int64N(int64(6*time.Second)))
+		d.Faults = append(d.Faults, Fault{Kind: kind, At: at, For: startAfter, Target: n})
+	}
+	return d
+}
--- /dev/null
+++ b/internal/faults/soak/history.go
@@ -0,0 +1,262 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Rule is what a day is held to.
+type Rule uint8
+
+// The rules.
+const (
+	SlowStart    Rule = iota // a server that came back is sent no more than its budget by nodes that were told
+	Answered                 // a request that was read is answered, in its time
+	Ended                    // a message that was taken on is delivered or ended by a notice, in its time
+	EffectOnce               // no effect takes place twice, and a return promises the truth
+	WaitKept                 // a server that told a wait is left alone
+	DrainKept                // an endpoint that drains is sent nothing new
+	ReadyInTime              // a restarted process is ready in time, and none ends by itself
+	WithinLimits             // memory and descriptors
+	rules
+)
+
+var ruleNames = [rules]string{"slow start", "answered", "ended", "effect once", "wait kept", "drain kept", "ready in time", "within limits"}
+
+// String names the rule.
+func (r Rule) String() string {
+	if r < rules {
+		return ruleNames[r]
+	}
+	return "unknown"
+}
+
+// Breach is a broken rule.
+type Breach struct {
+	Rule Rule
+	At   time.Duration
+	Text string
+}
+
+// String is the breach in a line.
+func (b Breach) String() string { return fmt.Sprintf("%8.3f s %s: %s", b.At.Seconds(), b.Rule, b.Text) }
+
+// message is what is known of one hand-in.
+type message struct {
+	node      int
+	class     *Class
+	key       string
+	due       time.Duration
+	taken     bool // its client has heard that it was taken on
+	runs      []time.Duration
+	delivered bool
+	ended     string // the state of its notice
+}
+
+// wait is a wait that a server told a node.
+type wait struct{ told, until time.Duration }
+
+// history is what clients, servers and discovery saw.
+type history struct {
+	play *play
+
+	mu       sync.Mutex
+	messages map[string]*message
+	keys     map[string][]time.Duration // runs of the effects of a key that count
+	waiting  map[[2]int]wait            // by node and server
+	drains   map[string]time.Duration   // endpoints that drain, since when that was told
+	away     []span                     // of nodes: from a signal until they have been ready again for a while
+	breaches []Breach
+	counts   Counts
+}
+
+// Counts are how often things happened.
+type Counts struct {
+	Handed, Taken, Refused, Failed, Unanswered, Resent, Delivered, Returned, Lost int
+}
+
+// span is a time in which a node was away.
+type span struct {
+	node     int
+	from, to time.Duration // to is 0 while it lasts
+}
+
+func newHistory(p *play) *history {
+	return &history{play: p, messages: map[string]*message{}, keys: map[string][]time.Duration{}, waiting: map[[2]int]wait{}, drains: map[string]time.Duration{}}
+}
+
+func (h *history) breach(rule Rule, format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.breachLocked(rule, format, args...)
+}
+
+func (h *history) breachLocked(rule Rule, format string, args ...any) {
+	h.breaches = append(h.breaches, Breach{rule, h.play.now(), fmt.Sprintf(format, args...)})
+}
+
+func (h *history) count(f func(*Counts)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f(&h.counts)
+}
+
+// handed notes a message before it is written to its node.
+func (h *history) handed(id string, m *message) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.messages[id] = m
+	h.counts.Handed++
+}
+
+// taken notes that a client has heard that its message was taken on.
+func (h *history) taken(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.messages[id].taken = true
+	h.counts.Taken++
+}
+
+// runs notes that a server does a message.
+func (h *history) runs(id string, server int, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := h.messages[id]
+	if m == nil {
+		h.breachLocked(EffectOnce, "server %d was sent message %q, which nobody handed in", server, id)
+		return
+	}
+	m.runs = append(m.runs, now)
+	if m.ended == "returned" && m.class.Effect == AtMostOnce {
+		h.breachLocked(EffectOnce, "message %s was returned as not done and ran afterwards", id)
+	}
+	switch m.class.Effect {
+	case AtMostOnce:
+		if len(m.runs) > 1 {
+			h.breachLocked(EffectOnce, "message %s may not be repeated and ran %d times, at %v", id, len(m.runs), m.runs)
+		}
+	case Deduplicated:
+		if last := h.keys[m.key]; len(last) > 0 && now-last[len(last)-1] <= m.class.Window {
+			return
+		}
+		if h.keys[m.key] = append(h.keys[m.key], now); len(m.runs) > 1 {
+			h.breachLocked(EffectOnce, "message %s ran again, %v after its first run, beyond its window of %v", id, now-m.runs[0], m.class.Window)
+		}
+	}
+}
+
+// called notes a call that came to an endpoint.
+func (h *history) called(now time.Duration, node, server int, endpoint string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if w := h.waiting[[2]int{node, server}]; now > w.told+waitSlack+ruleSlack && now < w.until {
+		h.breachLocked(WaitKept, "server %d was called by node %d %v before the wait that it told has ended", server, node, w.until-now)
+	}
+	if told, ok := h.drains[endpoint]; ok && now > told+drainGrace+ruleSlack {
+		h.breachLocked(DrainKept, "endpoint %s was called by node %d %v after it was told to drain", endpoint, node, now-told)
+	}
+}
+
+// draining notes that discovery has told that an endpoint drains.
+func (h *history) draining(endpoint string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if _, ok := h.drains[endpoint]; !ok {
+		h.drains[endpoint] = h.play.now()
+	}
+}
+
+// waits notes that a server asked a node to be left alone.
+func (h *history) waits(now time.Duration, node, server int, d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w := h.waiting[[2]int{node, server}]
+	if until := now + d; until > w.until {
+		h.waiting[[2]int{node, server}] = wait{now, until}
+	}
+}
+
+// delivered notes that a server answers that it has done a message.
+func (h *history) delivered(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if m := h.messages[id]; m != nil && !m.delivered {
+		m.delivered = true
+		h.counts.Delivered++
+	}
+}
+
+// noticed notes the notice of a message.
+func (h *history) noticed(id, state string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	m := h.messages[id]
+	if m == nil || m.ended != "" {
+		return
+	}
+	m.ended = state
+	h.counts.Returned++
+	if state == "returned" && m.class.Effect == AtMostOnce && len(m.runs) > 0 {
+		h.breachLocked(EffectOnce, "message %s was returned as not done and has run", id)
+	}
+}
+
+// leaves notes that a node was sent a signal that ends it, and ready that it serves again.
+func (h *history) leaves(node int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.away = append(h.away, span{node: node, from: h.play.now()})
+}
+
+func (h *history) ready(node int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.away {
+		if s := &h.away[i]; s.node == node && s.to == 0 {
+			s.to = h.play.now() + restartGrace + ruleSlack
+		}
+	}
+	for k := range h.waiting {
+		if k[0] == node {
+			delete(h.waiting, k)
+		}
+	}
+}
+
+// isAway tells whether a node was away at some time from one moment to another.
+func (h *history) isAway(node int, from, to time.Duration) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.away, func(s span) bool {
+		return s.node == node && s.from <= to && (s.to == 0 || s.to >= from)
+	})
+}
+
+// overdue notes the messages that have had no end in their time.
+func (h *history) overdue(final bool) {
+	now := h.play.now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, m := range h.messages {
+		if !m.taken || m.delivered || m.ended != "" {
+			continue
+		}
+		late := m.due + lostSlack + ruleSlack
+		for _, s := range h.away {
+			if s.node == m.node && s.from <= late {
+				if s.to == 0 {
+					late = now + time.Hour
+				}
+				late = max(late, s.to)
+			}
+		}
+		if now <= late && !final {
+			continue
+		}
+		h.counts.Lost++
+		m.ended = "lost"
+		h.breachLocked(Ended, "message %s (%s) was taken on by node %d, was due at %.3f s and has no end; it ran %d times", id, m.class.Name, m.node, m.due.Seconds(), len(m.runs))
+	}
+}
--- /dev/null
+++ b/internal/faults/soak/play.go
@@ -0,0 +1,371 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"starlingusher/internal/standin"
+)
+
+// Options are how a day is played.
+type Options struct {
+	Program string // the node
+	Folder  string // for the nodes' files and logs; it exists
+}
+
+// Report is what came of a day.
+type Report struct {
+	Breaches []Breach
+	Counts   Counts
+	Worst    load // of all servers' slow starts, by the share of the budget
+}
+
+// play is a day that is being played.
+type play struct {
+	day       *Day
+	options   Options
+	began     time.Time
+	history   *history
+	servers   []*server
+	nodes     []*node
+	discovery []*agent // the first is where nodes begin
+	noticed   [2]int   // notices of each that were taken; of the goroutine that watches
+
+	mu        sync.Mutex
+	endpoints map[string]string // by address
+	phases    map[string]standin.Member
+	deaths    []death
+	beside    []net.Conn // of idle and half-way clients
+	work      sync.WaitGroup
+}
+
+// death is when a node's process was killed.
+type death struct {
+	node int
+	at   time.Duration
+}
+
+func (p *play) now() time.Duration { return time.Since(p.began) }
+
+func (p *play) sleepUntil(ctx context.Context, at time.Duration) bool {
+	t := time.NewTimer(at - p.now())
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Run plays a day. The error is of the rig; broken rules are in the report.
+func Run(ctx context.Context, day *Day, o Options) (_ *Report, err error) {
+	p := &play{day: day, options: o, began: time.Now(), endpoints: map[string]string{}, phases: map[string]standin.Member{}}
+	p.history = newHistory(p)
+	ctx, cancel := context.WithCancel(ctx)
+	defer p.close()
+	defer cancel()
+	if err := p.start(ctx); err != nil {
+		return nil, err
+	}
+	p.began = time.Now()
+	var all sync.WaitGroup
+	for _, n := range p.nodes {
+		c := &clients{play: p, node: n, rng: rand.New(rand.NewPCG(day.Seed, uint64(2000+n.number)))}
+		all.Go(func() { c.run(ctx) })
+	}
+	watched, stop := context.WithCancel(ctx)
+	defer stop()
+	all.Go(func() { p.watch(watched) })
+	var faults sync.WaitGroup
+	errs := make(chan error, len(day.Faults))
+	for _, f := range day.Faults {
+		faults.Go(func() {
+			if p.sleepUntil(ctx, f.At) {
+				errs <- p.inflict(ctx, f)
+			}
+		})
+	}
+	faults.Wait()
+	close(errs)
+	for e := range errs {
+		err = errors.Join(err, e)
+	}
+	longest := time.Duration(0)
+	for _, c := range day.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	p.sleepUntil(ctx, day.Length+longest+lostSlack+ruleSlack+restartGrace)
+	stop()
+	all.Wait()
+	if ctx.Err() != nil {
+		return nil, errors.Join(err, ctx.Err())
+	}
+	p.notices()
+	p.history.overdue(true)
+	return p.report(), err
+}
+
+func (p *play) report() *Report {
+	p.history.mu.Lock()
+	defer p.history.mu.Unlock()
+	r := &Report{Breaches: slices.Clone(p.history.breaches), Counts: p.history.counts}
+	for _, s := range p.servers {
+		s.mu.Lock()
+		if s.worst.ratio() > r.Worst.ratio() {
+			r.Worst = s.worst
+		}
+		s.mu.Unlock()
+	}
+	return r
+}
+
+func (p *play) start(ctx context.Context) error {
+	for range 2 {
+		d, err := newAgent()
+		if err != nil {
+			return err
+		}
+		p.discovery = append(p.discovery, d)
+	}
+	for i := range p.day.Servers {
+		s, err := newServer(p, i)
+		if err != nil {
+			return err
+		}
+		p.servers = append(p.servers, s)
+		p.endpoint(s, fmt.Sprintf("s%d", i), s.addrs[0], "SERVING")
+	}
+	started := make(chan error, p.day.Nodes)
+	for i := range p.day.Nodes {
+		listen, err := reserve(i)
+		if err != nil {
+			return err
+		}
+		n := &node{play: p, number: i, folder: filepath.Join(p.options.Folder, fmt.Sprintf("n%d", i)), listen: listen, discovery: p.discovery[0].addr}
+		p.nodes = append(p.nodes, n)
+	}
+	for _, n := range p.nodes {
+		p.work.Go(func() { started <- n.start(ctx) })
+	}
+	var err error
+	for range p.nodes {
+		err = errors.Join(err, <-started)
+	}
+	return err
+}
+
+// endpoint puts an endpoint of a server on the list, or changes its phase.
+func (p *play) endpoint(s *server, id, addr, phase string) standin.Member {
+	m := standin.Member{ID: id, Addr: addr, Zone: "a", Kind: "plain", Dest: s.number, Phase: phase, Size: s.Weight}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endpoints[m.Addr] = id
+	if phase == "DELETED" {
+		delete(p.phases, id)
+	} else {
+		p.phases[id] = m
+	}
+	return m
+}
+
+// members is the list as it is now.
+func (p *play) members() []standin.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []standin.Member
+	for _, m := range p.phases {
+		all = append(all, m)
+	}
+	slices.SortFunc(all, func(a, b standin.Member) int { return a.Dest - b.Dest })
+	return all
+}
+
+// endpointAt is the endpoint whose address a call names.
+func (p *play) endpointAt(addr string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endpoints[addr]
+}
+
+func (p *play) kills(node int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deaths = append(p.deaths, death{node, p.now()})
+}
+
+// killed tells whether a node was killed between two moments.
+func (p *play) killed(node int, from, to time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.deaths, func(d death) bool { return d.node == node && d.at >= from && d.at <= to })
+}
+
+// inflict does a fault, and returns when it is over.
+func (p *play) inflict(ctx context.Context, f Fault) error {
+	over := f.At + f.For
+	switch {
+	case f.Kind.outage():
+		s := p.servers[f.Target]
+		if err := s.fail(f.Kind); err != nil {
+			return err
+		}
+		p.sleepUntil(ctx, over)
+		return s.recover()
+	case f.Kind == Terminate, f.Kind == Kill:
+		return p.restart(ctx, f)
+	}
+	n := p.nodes[f.Target%len(p.nodes)]
+	switch f.Kind {
+	case Stop:
+		n.signal(syscall.SIGSTOP)
+		p.sleepUntil(ctx, over)
+		n.signal(syscall.SIGCONT)
+	case Move:
+		n.discovery = p.discovery[1].addr
+		if err := n.configure(); err != nil {
+			return err
+		}
+		n.signal(syscall.SIGHUP)
+	case Replace:
+		return p.replace(ctx, f)
+	case Silence:
+		for _, d := range p.discovery {
+			d.setDown(true)
+		}
+		p.sleepUntil(ctx, over)
+		for _, d := range p.discovery {
+			for _, m := range d.setDown(false) {
+				p.told(m)
+			}
+		}
+	case Crowd, Halves:
+		p.crowd(ctx, n, f)
+	}
+	return nil
+}
+
+// restart ends a node's process and starts another.
+func (p *play) restart(ctx context.Context, f Fault) error {
+	n := p.nodes[f.Target%len(p.nodes)]
+	p.history.leaves(n.number)
+	if f.Kind == Terminate {
+		n.end(killAfter)
+	} else {
+		n.end(0)
+	}
+	if !p.sleepUntil(ctx, p.now()+max(startAfter, f.For)) {
+		return ctx.Err()
+	}
+	return n.start(ctx)
+}
+
+// replace has a server's endpoint drain and go, with another one in its place.
+func (p *play) replace(ctx context.Context, f Fault) error {
+	s := p.servers[f.Target]
+	addr, err := s.addAddr()
+	if err != nil {
+		return err
+	}
+	old := fmt.Sprintf("s%d", f.Target)
+	p.tell(p.endpoint(s, fmt.Sprintf("s%d-%d", f.Target, f.At.Milliseconds()), addr, "SERVING"))
+	p.tell(p.endpoint(s, old, s.addrs[0], "DRAINING"))
+	p.sleepUntil(ctx, f.At+f.For)
+	p.tell(p.endpoint(s, old, s.addrs[0], "DELETED"))
+	return nil
+}
+
+// tell has discovery tell of a change.
+func (p *play) tell(m standin.Member) {
+	for _, d := range p.discovery {
+		if d.set(m) {
+			p.told(m)
+		}
+	}
+}
+
+// told notes what counts as told to nodes from now on.
+func (p *play) told(m standin.Member) {
+	if m.Phase == "DRAINING" {
+		p.history.draining(m.ID)
+	}
+}
+
+// crowd connects clients to a node that say nothing, or half a request, and stay.
+func (p *play) crowd(ctx context.Context, n *node, f Fault) {
+	for range 150 {
+		nc, err := net.DialTimeout("tcp", n.listen, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		if f.Kind == Halves {
+			io.WriteString(nc, "*5\r\n$7\r\nENQ")
+		}
+		p.mu.Lock()
+		p.beside = append(p.beside, nc)
+		p.mu.Unlock()
+	}
+	p.sleepUntil(ctx, f.At+f.For)
+}
+
+// watch takes notices, and looks after what is overdue and what processes use, until the day is over.
+func (p *play) watch(ctx context.Context) {
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		p.notices()
+		p.history.overdue(false)
+		if i%20 == 0 {
+			p.usages()
+		}
+	}
+}
+
+func (p *play) notices() {
+	for i, d := range p.discovery {
+		all := d.noticesAfter(p.noticed[i])
+		for _, n := range all {
+			p.history.noticed(n.ID, n.State)
+		}
+		p.noticed[i] += len(all)
+	}
+}
+
+func (p *play) usages() {
+	for _, n := range p.nodes {
+		if memory, descriptors := n.usage(); memory > 64<<20 || descriptors > 384 {
+			p.history.breach(WithinLimits, "node %d has %d MB and %d descriptors", n.number, memory>>20, descriptors)
+		}
+	}
+}
+
+func (p *play) close() {
+	for _, n := range p.nodes {
+		n.signal(syscall.SIGCONT)
+		n.end(0)
+	}
+	for _, nc := range p.beside {
+		nc.Close()
+	}
+	for _, s := range p.servers {
+		s.close()
+	}
+	for _, d := range p.discovery {
+		d.close()
+	}
+	p.work.Wait()
+}
--- /dev/null
+++ b/internal/faults/soak/process.go
@@ -0,0 +1,236 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"starlingusher/internal/standin"
+)
+
+// node is a place in the fleet: a folder that lasts, an address, and the process that has them now.
+type node struct {
+	play   *play
+	number int
+	folder string
+	listen string
+
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	done      chan struct{} // closed when the process has ended
+	wanted    bool          // it is to run
+	discovery string
+}
+
+// reserve finds an address that nobody uses, on a loopback address that no outgoing connection takes a port of.
+func reserve(number int) (string, error) {
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, os.Getpid()/128%250, 1+number%250))
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// settings are the platform's.
+func (d *Day) settings() (json.RawMessage, error) {
+	ms := func(t time.Duration) float64 { return float64(t) / float64(time.Millisecond) }
+	var classes []map[string]any
+	for _, c := range d.Classes {
+		one := map[string]any{"name": c.Name, "effect": c.Effect, "aim": ms(c.Deadline) / 4, "deadline": ms(c.Deadline), "worth": 1, "lateWorth": 0.3}
+		if c.Effect == Deduplicated {
+			one["window"], one["group"] = ms(c.Window), "all"
+		}
+		classes = append(classes, one)
+	}
+	return json.Marshal(map[string]any{
+		"fleetSize": d.Nodes, "categories": classes, "discovery": "pushed", "failureDomains": []string{"a"}, "flavors": []string{"plain"},
+		"contract": map[string]any{"coldFrom": d.ColdFrom, "fall": ms(fallSpan), "fallMultiple": fallMultiple, "graceToAnswer": 20,
+			"stopSendingWithin": ms(drainGrace), "warmWithin": ms(d.WarmIn)},
+		"domain": map[string]any{"decay": "line", "kindBatch": []int{1}, "separateRoutes": []bool{false}, "workers": d.Slots},
+		"limits": map[string]any{"cancel": true, "connIdle": 5000, "dialTimeout": 1000, "maxAttempts": 12, "maxOpen": d.MaxOpen,
+			"maxRetryAfter": 3000, "retryAfter": true},
+		"tick": 5, "weights": "rough",
+	})
+}
+
+// configure writes the node's configuration, with the list as discovery has it now.
+func (n *node) configure() error {
+	settings, err := n.play.day.settings()
+	if err != nil {
+		return err
+	}
+	text, err := standin.NodeConfig(n.listen, n.discovery, standin.Limits{Cores: 0.25, MemoryMB: 64, Sockets: 384, DiskMB: 3}, string(settings), n.play.members())
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(n.folder, "config.json")
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// start starts the process and waits until it takes clients.
+func (n *node) start(ctx context.Context) error {
+	if err := errors.Join(os.MkdirAll(filepath.Join(n.folder, "state"), 0o700), n.configure()); err != nil {
+		return err
+	}
+	cmd := exec.Command(n.play.options.Program)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+filepath.Join(n.folder, "config.json"), "ROUTER_STATE="+filepath.Join(n.folder, "state"),
+		"ROUTER_NAME="+fmt.Sprintf("n%d", n.number), "ROUTER_DISCOVERY="+n.discovery)
+	words, err := cmd.StderrPipe()
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(n.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	began := n.play.now()
+	if err := cmd.Start(); err != nil {
+		return errors.Join(err, log.Close())
+	}
+	done := make(chan struct{})
+	n.mu.Lock()
+	n.cmd, n.done, n.wanted = cmd, done, true
+	n.mu.Unlock()
+	go func() { // ends with the process
+		defer close(done)
+		defer log.Close()
+		n.read(io.TeeReader(words, log))
+		err := cmd.Wait()
+		n.mu.Lock()
+		wanted := n.wanted
+		n.mu.Unlock()
+		if wanted {
+			n.play.history.breach(ReadyInTime, "node %d ended by itself: %v", n.number, err)
+		}
+	}()
+	for {
+		nc, err := net.DialTimeout("tcp", n.listen, time.Second)
+		if err == nil {
+			_, err = io.WriteString(nc, "*1\r\n$4\r\nPING\r\n")
+			if err == nil {
+				nc.SetReadDeadline(time.Now().Add(time.Second))
+				_, err = bufio.NewReader(nc).ReadString('\n')
+			}
+			nc.Close()
+		}
+		if err == nil {
+			n.play.history.ready(n.number)
+			return nil
+		}
+		if n.play.now()-began > readyWithin {
+			n.play.history.breach(ReadyInTime, "node %d is not ready after %v: %v", n.number, readyWithin, err)
+			return fmt.Errorf("node %d is not ready: %w", n.number, err)
+		}
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// read takes from the process's log what it was told of servers, and its end in a panic.
+func (n *node) read(words io.Reader) {
+	lines := bufio.NewScanner(words)
+	for lines.Scan() {
+		line := lines.Text()
+		switch {
+		case strings.Contains(line, `msg="attempt ended"`):
+			if server, err := strconv.Atoi(field(line, "destination")); err == nil && server < len(n.play.servers) {
+				n.play.servers[server].toldNode(n.number)
+			}
+		case strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:"):
+			n.play.history.breach(ReadyInTime, "node %d: %s", n.number, line)
+		}
+	}
+	io.Copy(io.Discard, words) // a line that is too long ends the scan, and must not hold the process up
+}
+
+// field is the value of a key in a line of the log.
+func field(line, key string) string {
+	_, rest, ok := strings.Cut(line, " "+key+"=")
+	if !ok {
+		return ""
+	}
+	value, _, _ := strings.Cut(rest, " ")
+	return value
+}
+
+// signal sends the process a signal, if there is one.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil {
+		n.cmd.Process.Signal(s) // an error says that it has ended
+	}
+}
+
+// end ends the process: by SIGTERM, and SIGKILL at the earliest time that is allowed, or at once.
+func (n *node) end(at time.Duration) {
+	n.mu.Lock()
+	cmd, done := n.cmd, n.done
+	n.wanted = false
+	n.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	if at > 0 {
+		n.signal(syscall.SIGTERM)
+		late := time.NewTimer(at)
+		defer late.Stop()
+		select {
+		case <-done:
+		case <-late.C:
+		}
+	}
+	select {
+	case <-done:
+	default:
+		n.play.kills(n.number)
+		n.signal(syscall.SIGKILL)
+		<-done
+	}
+	n.mu.Lock()
+	n.cmd = nil
+	n.mu.Unlock()
+}
+
+// usage is the process's memory in bytes and its open descriptors; 0 where there is no process.
+func (n *node) usage() (memory, descriptors int) {
+	n.mu.Lock()
+	cmd := n.cmd
+	n.mu.Unlock()
+	if cmd == nil {
+		return 0, 0
+	}
+	at := filepath.Join("/proc", strconv.Itoa(cmd.Process.Pid))
+	text, err := os.ReadFile(filepath.Join(at, "statm"))
+	if err != nil {
+		return 0, 0
+	}
+	if words := strings.Fields(string(text)); len(words) > 1 {
+		pages, _ := strconv.Atoi(words[1])
+		memory = pages * os.Getpagesize()
+	}
+	open, err := os.ReadDir(filepath.Join(at, "fd"))
+	if err != nil {
+		return memory, 0
+	}
+	return memory, len(open)
+}
--- /dev/null
+++ b/internal/faults/soak/soak_test.go
@@ -0,0 +1,84 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+var (
+	count   = flag.Int("soak.seeds", 0, "how many seeds to play; 0 for those of the test")
+	first   = flag.Uint64("soak.first", 1, "the first of them")
+	keep    = flag.String("soak.keep", "", "a folder for the nodes' files and logs")
+	program string
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(func() int {
+		folder, err := os.MkdirTemp("", "soak-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(folder)
+		program = filepath.Join(folder, "coralyard")
+		if out, err := exec.Command("go", "build", "-o", program, "starlingusher/cmd/coralyard").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", out, err)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// playSeeds plays a day for each seed, several beside each other, and reports what was broken.
+func playSeeds(t *testing.T, seeds []uint64, draw func(seed uint64) *Day) {
+	if *count > 0 {
+		seeds = nil
+		for i := range *count {
+			seeds = append(seeds, *first+uint64(i))
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			playDay(t, draw(seed))
+		})
+	}
+}
+
+func playDay(t *testing.T, day *Day) {
+	folder := t.TempDir()
+	if *keep != "" {
+		folder = filepath.Join(*keep, t.Name())
+		if err := os.MkdirAll(folder, 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	report, err := Run(ctx, day, Options{Program: program, Folder: folder})
+	if err != nil {
+		t.Fatalf("the rig: %v", err)
+	}
+	t.Logf("%+v, heaviest slow start %.2f of the budget: %+v", report.Counts, report.Worst.ratio(), report.Worst)
+	if len(report.Breaches) == 0 {
+		return
+	}
+	for _, f := range day.Faults {
+		t.Log(f)
+	}
+	for _, b := range report.Breaches[:min(len(report.Breaches), 10)] {
+		t.Error(b)
+	}
+}
+
+// TestReturningServersAreNotSentMoreThanTheirBudget guards against nodes that were told of an outage overloading a cold server.
+func TestReturningServersAreNotSentMoreThanTheirBudget(t *testing.T) {
+	playSeeds(t, []uint64{18, 20, 25}, outageDay)
+}
