--- a/choice/health.go
+++ b/choice/health.go
@@ -1,6 +1,9 @@
 package choice
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Health is what a Sender believes of a route.
 type Health uint8
@@ -62,3 +65,173 @@
 	}
 	s.healthChanges = append(s.healthChanges, change)
 }
+
+// Ominous tells whether an outcome is a sign of an outage that the next life should hear of with its message.
+// A refusal over a limit is none, nor is a call that was called off, nor a kept connection that broke.
+func (s *Sender) Ominous(dest int, e Ended) bool {
+	switch e.Outcome {
+	case Pass, Stale, Undone:
+		return false
+	case Cut:
+		return !e.Kept
+	case NoRoom:
+		d := s.dests[dest]
+		struck := func(ep *endpoint) bool { return ep.route.recovering() }
+		return e.Wait > s.t.ShutWait || (d != nil && slices.ContainsFunc(d.endpoints, struck))
+	}
+	return true
+}
+
+// judge updates the health of an endpoint and its route from a call's outcome. One that tells of its
+// connection alone says nothing of them, nor do the further messages of the call: each of ten that were
+// refused together halved the part, and each of ten that broke off together was a failure.
+func (s *Sender) judge(c *call, e Ended, lone bool) {
+	ep, r, took := c.ep, c.ep.route, max(seconds(e.Took), seconds(s.t.FloorResponse))
+	if c.trial {
+		r.trial = false
+	}
+	switch {
+	case lone, c.judged:
+	case e.Outcome == Pass:
+		if took <= s.t.SlowFactor*ep.usual {
+			ep.provenAt = max(ep.provenAt, c.sentAt)
+		}
+		ep.usual, ep.response = s.ease(ep.usual, took), s.ease(ep.response, took)
+		ep.window.Passed(s.now, ep.out, e.Took)
+		ep.table.Passed(s.now, s.cfg.Fleet, !e.Kept)
+		if r.fails > 0 && r.harmless && !r.sick && !s.cfg.FullTold {
+			s.crowded[ep.dest.kind] = s.now + s.t.CrowdedSpan // no connection, then a pass: a full table
+		}
+		s.passed(r, 1+s.t.ItemWeight*float64(len(c.sends)-1))
+	case e.Outcome == Stale:
+	case e.Outcome == NoRoom && e.HungUp && !e.Kept && e.Wait == 0 && !r.sick:
+		s.crowd(ep)
+	case e.Outcome == NoRoom:
+		// Refusals in a row rest longer each time, over a limit or shut. They are no outage by themselves:
+		// a large fleet meets three in a row at any busy limit.
+		if s.now-r.waitUntil > r.rest {
+			r.rest = s.t.RefusedRest
+		} else if s.now >= r.waitUntil { // no fellow of the call that told of it
+			r.rest *= 2
+		}
+		r.waitUntil = max(r.waitUntil, s.now+max(e.Wait, r.rest))
+		ep.response = s.ease(ep.response, 2*max(ep.response, took))
+		// Refused where there is no limit: a full queue, as of a destination that hangs, if nothing passes.
+		stuck := r.unlimited() && ep.window.Refused(s.now, ep.out)
+		if shut := e.Wait > s.t.ShutWait; shut || stuck || r.sick {
+			s.failure(ep, shut, true, false)
+		} else if !r.unlimited() {
+			s.cut(ep.dest, r)
+		}
+	default:
+		ep.response = s.ease(ep.response, max(2*ep.response, took, seconds(s.t.SlowLeast)))
+		s.failure(ep, false, e.Outcome == NoRoute, e.Outcome == NoRoute || e.Outcome == Cut)
+	}
+	c.judged = c.judged || (!lone && e.Outcome != Stale)
+	if e.Wait > 0 { // told with whatever end: it binds all the same
+		r.told(s.now + e.Wait)
+	}
+	if c.left == 0 && e.Outcome != NoRoute && e.Outcome != Stale {
+		s.giveBack(ep)
+	}
+}
+
+// failure notes a sign of an outage. It covers every kind: refused connections, errors, silence, shut doors.
+// A route gone sick gets single trials with growing pauses; the cold budget holds until it is surely warm.
+// One failure is no outage: a run is, if it is longer than the failures met everywhere explain. So a
+// lossy path of our own does not make all destinations look struck. Routes apart of one destination add up
+// their runs, for an outage mostly takes them all and each sees few calls.
+func (s *Sender) failure(ep *endpoint, sure, harmless, torn bool) {
+	r := ep.route
+	r.harmless = harmless
+	r.part.News(s.now)
+	r.gap.Failed(r.fails == 0, torn)
+	r.fails++
+	if !r.sick {
+		if r.fails == 1 {
+			r.failedAt = s.now
+			s.failing.Failed()
+		}
+		least := s.t.SickCount
+		if s.now-r.failedAt >= s.t.SickSpan || s.rate(ep.dest)*seconds(s.t.SickSpan) < s.t.RareCalls {
+			least--
+		}
+		if r.known.Out(s.now) {
+			least--
+		}
+		fails := r.fails
+		for _, mate := range ep.dest.endpoints {
+			if mate.route != r {
+				fails += mate.route.fails
+			}
+		}
+		silent := !torn && !harmless && s.now-r.failedAt >= s.t.SickSpan
+		if sure || ((silent || float64(fails) >= s.failing.Run(least)) && !s.mayPass(ep.dest, r)) {
+			before := r.health()
+			s.strike(r)
+			s.noteHealth(r, before, "failures in a row")
+			ep.narrow(s.now)
+		}
+	} else if s.now >= r.trialAt {
+		r.backoff = min(2*r.backoff, s.t.TrialLast)
+		r.trialAt = s.now + r.backoff/2 + time.Duration(s.rng.Int64N(int64(r.backoff)))
+	}
+}
+
+// mayPass tells that a call which was out when the run of failures began may still pass: a few calls that
+// break off at once come before the passes of their time, and are no outage.
+func (s *Sender) mayPass(d *destination, r *route) bool {
+	return slices.ContainsFunc(d.calls, func(c *call) bool {
+		return c.ep.route == r && c.sentAt <= r.failedAt && seconds(s.now-c.sentAt) <= 2*c.ep.usual
+	})
+}
+
+// strike opens an outage. The allowance starts anywhere below one call, or the senders of a large fleet, most
+// of which hold a single message, would all try at the same age of the outage.
+func (s *Sender) strike(r *route) {
+	if !r.recovering() {
+		r.struckAt, r.demand = s.now, 1
+		r.gap.Struck()
+		r.tokens, r.tokensAt = s.rng.Float64(), s.now
+	}
+	if r.coldFrom > 0 {
+		r.gap.Stays() // it has been out
+	}
+	r.sick, r.backoff, r.coldFrom = true, s.t.TrialFirst, 0
+	r.trialAt = s.now + r.backoff
+}
+
+// passed notes a delivered call: the end of an outage, a step of the recovery, or plain health.
+func (s *Sender) passed(r *route, work float64) {
+	if !r.sick && r.fails == 0 {
+		s.failing.Passed()
+	}
+	r.rest, r.fails = 0, 0
+	if gap := seconds(s.now - r.passedAt); gap > 1 {
+		r.busiest = max(r.busiest, r.passed/gap)
+		r.passed, r.passedAt = 0, s.now
+	}
+	r.passed++
+	r.part.Passed(s.now, s.cfg.Fleet, r.left)
+	brief := r.gap.Passed(s.now, work)
+	before := r.health()
+	switch {
+	case r.sick && s.now < r.toldUntil: // told to be left alone: the call was out before
+	case r.sick && brief:
+		r.sick = false
+	case r.sick:
+		r.sick, r.coldFrom = false, r.known.Since(s.now, r.struckAt)
+	case r.coldFrom > 0 && s.now-r.coldFrom > s.cfg.WarmWithin:
+		r.coldFrom = 0
+	}
+	s.noteHealth(r, before, "a call passed")
+}
+
+// probed takes the result of a probe as it takes that of a call.
+func (s *Sender) probed(e Probed) {
+	if ep := s.eps[e.Endpoint]; ep != nil {
+		s.report(ep.route, e.Report)
+		s.judge(&call{ep: ep, trial: true}, Ended{Outcome: e.Outcome, Took: e.Took}, false)
+		s.stir(ep.dest)
+	}
+}
