Slow start binds from the first failure, not from the run that makes an outage

Cause: the rule counts a node as told at its first failed call. The decisions paced a route only once it was struck, after a run of two failures and up to eleven where much fails elsewhere; below that the node went on at full speed, and its calls left together when slots that hung calls had held came free. Change: the first failure makes a route suspect: slow start paces it, but for one call that may follow within 500 ms. A pass within that time clears it; a later one begins the way back. Calls lost alone count if nothing passed just before. A test that had three failures one after the other has them out together now, which is as strict: the second would wait for its pace. Why it works: a told node sends no more than its part, whenever its messages or slots come free; only nodes whose first failure was less than 500 ms before the return have a free call.

--- a/choice/health.go
+++ b/choice/health.go
@@ -11,11 +11,12 @@
 // The states of a route.
 const (
 	Healthy    Health = iota
+	Suspect           // it failed, and no pass has followed: it may be out
 	Out               // an outage: single trials only
 	Recovering        // back from an outage, in slow start
 )
 
-var healthNames = [...]string{"healthy", "out", "recovering"}
+var healthNames = [...]string{"healthy", "suspect", "out", "recovering"}
 
 // String names the state.
 func (h Health) String() string {
@@ -46,6 +47,8 @@
 		return Out
 	case r.coldFrom > 0:
 		return Recovering
+	case r.suspectAt > 0:
+		return Suspect
 	}
 	return Healthy
 }
@@ -90,6 +93,9 @@
 	if c.trial {
 		r.trial = false
 	}
+	if failed(e) && (!lone || e.Kept || !r.gap.PassedSince(s.now-s.t.SuspectSpan)) {
+		s.suspect(r)
+	}
 	switch {
 	case lone, c.judged:
 	case e.Outcome == Pass:
@@ -136,6 +142,24 @@
 	}
 }
 
+// failed tells that an outcome is that of a call that failed, whatever the reason.
+func failed(e Ended) bool {
+	return e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == NoRoute || e.Outcome == Cut
+}
+
+// suspect has slow start pace a route of which a call failed, until a call passes: one failure is no outage yet, but the server
+// counts on everybody who met one. A single call may follow at once, to tell the two apart.
+func (s *Sender) suspect(r *route) {
+	if r.recovering() {
+		return
+	}
+	before := r.health()
+	r.suspectAt, r.retry = s.now, true
+	s.enterSlowStart(r)
+	r.tokens = 1
+	s.noteHealth(r, before, "a call failed")
+}
+
 // failure notes a sign of an outage. It covers every kind: refused connections, errors, silence, shut doors.
 // A route gone sick gets single trials with growing pauses; the cold budget holds until it is surely warm.
 // One failure is no outage: a run is, if it is longer than the failures met everywhere explain. So a
@@ -190,17 +214,23 @@
 // of which hold a single message, would all try at the same age of the outage.
 func (s *Sender) strike(r *route) {
 	if !r.recovering() {
-		r.struckAt, r.demand = s.now, 1
-		r.gap.Struck()
-		r.tokens, r.tokensAt = s.rng.Float64(), s.now
+		s.enterSlowStart(r)
 	}
 	if r.coldFrom > 0 {
 		r.gap.Stays() // it has been out
 	}
+	r.suspectAt = 0
 	r.sick, r.backoff, r.coldFrom = true, s.t.TrialFirst, 0
 	r.trialAt = s.now + r.backoff
 }
 
+// enterSlowStart begins what slow start goes by.
+func (s *Sender) enterSlowStart(r *route) {
+	r.struckAt, r.demand = s.now, 1
+	r.gap.Struck()
+	r.tokens, r.tokensAt = s.rng.Float64(), s.now
+}
+
 // passed notes a delivered call: the end of an outage, a step of the recovery, or plain health.
 func (s *Sender) passed(r *route, work float64) {
 	if !r.sick && r.fails == 0 {
@@ -221,6 +251,10 @@
 		r.sick = false
 	case r.sick:
 		r.sick, r.coldFrom = false, r.known.Since(s.now, r.struckAt)
+	case r.suspectAt > 0 && (brief || s.now-r.suspectAt <= s.t.SuspectSpan):
+		r.suspectAt = 0
+	case r.suspectAt > 0: // it may have been out
+		r.suspectAt, r.coldFrom = 0, s.now
 	case r.coldFrom > 0 && s.now-r.coldFrom > s.cfg.WarmWithin:
 		r.coldFrom = 0
 	}
--- a/choice/release.go
+++ b/choice/release.go
@@ -293,6 +293,7 @@
 		s.do(send)
 	}
 	r.tokens--
+	r.retry = false
 	if r.recovering() { // the others weigh little at a warm one
 		r.tokens -= s.t.ItemWeight * float64(len(group)-1)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -122,6 +122,9 @@
 	failedAt  time.Duration // the first of them
 	gap       outage.Gap    // since the last pass
 	rest      time.Duration // after the last of the refusals in a row
+	// suspectAt is the first failure, or the last of a run of refusals, that no pass has answered; 0 for none. See suspect.
+	suspectAt time.Duration
+	retry     bool // the call that may follow such a failure at once is not yet spent
 	sick      bool
 	harmless  bool // the last failure proved that nothing ran
 	trialAt   time.Duration
@@ -341,8 +344,8 @@
 	return fresh
 }
 
-// recovering tells that the route is struck, or not yet surely warm again.
-func (r *route) recovering() bool { return r.sick || r.coldFrom > 0 }
+// recovering tells that the route is struck or may be, or is not yet surely warm again: slow start paces it.
+func (r *route) recovering() bool { return r.sick || r.coldFrom > 0 || r.suspectAt > 0 }
 
 // oldest is for how long the message has waited that has waited the longest.
 func (d *destination) oldest(now time.Duration) time.Duration {
--- a/choice/tuned.go
+++ b/choice/tuned.go
@@ -20,6 +20,7 @@
 	TrialLast        time.Duration `tune:"1s 250ms..4s"`                // and the longest, a fraction of the outages worth noticing
 	SickCount        float64       `tune:"3 2..6"`                      // failures in a row that make an outage where they are rare,
 	SickSpan         time.Duration `tune:"2s 500ms..5s"`                // one less if none passed for so long,
+	SuspectSpan      time.Duration `tune:"500ms 100ms..1s"`             // a pass so soon after a first failure leaves no room for an outage
 	RareCalls        float64       `tune:"0.5 0.1..2"`                  // or where we have so few calls in that time
 	KnowingShare     float64       `tune:"0.9 0.5..1"`                  // rule four counts the load of knowing senders; a tenth less leaves room for chance
 	DemandShare      float64       `tune:"0.4 0.1..1"`                  // of its own demand a sender takes less: a busy destination may be asked for more than it can do
