Slow-start parts add up instead of each node taking the greatest of three

Cause: each node took the greatest of an even part, a part by its own demand and what passed before. Each of the three sums up to the budget over all nodes, the greatest of them does not: it is another one at each node. The demand of a node that was handed one message read as a rate of one in two seconds. Small servers get more by that than before, large ones no more. Why it works: what all nodes may send together has a bound that the test holds for fleets of 2 to 100 nodes with any shares of the traffic.

--- a/choice/slowstart.go
+++ b/choice/slowstart.go
@@ -1,5 +1,7 @@
 package choice
 
+import "math"
+
 // This file is slow start: what may be sent to a route on its way back from an outage.
 
 // capacity is a careful guess of what the route takes a second from all senders when it is warm.
@@ -15,10 +17,7 @@
 	return max(r.busiest, 1)
 }
 
-// pace is how many calls a second this sender may send on the route, and whether it is so bound. Of the cold
-// budget it takes what passed of its calls before, or what its own demand since the outage began calls for:
-// over all senders that sums up to what a warm one can do. An even share starves the few senders of a large
-// fleet that hold messages, and wastes what the others leave.
+// pace is how many calls a second this sender may send on the route, and whether it is so bound.
 func (s *Sender) pace(r *route) (rate float64, bound bool) {
 	share := s.cfg.ColdFrom
 	if r.coldFrom > 0 && s.cfg.WarmWithin > 0 {
@@ -36,12 +35,37 @@
 // paceAt is the pace when a route on its way back has a share of its capacity.
 func (s *Sender) paceAt(r *route, share float64) (rate float64, bound bool) {
 	if r.recovering() && s.cfg.Fall > 0 && s.cfg.FallMultiple > 0 {
-		even := s.capacity(r) / float64(s.cfg.Fleet)
-		own := r.demand / max(seconds(s.now-r.struckAt), seconds(s.cfg.Fall))
-		part := max(s.t.KnowingShare*even, s.t.DemandShare*min(own, s.capacity(r)), r.gap.Before())
-		part = r.known.Cold(s.now, part, s.t.KnowingShare*s.capacity(r))
-		return s.cfg.FallMultiple * share * part, true
+		capable := s.cfg.FallMultiple * share * s.capacity(r)
+		alone := s.slowStartPart(r) * safeCalls(capable*seconds(s.cfg.Fall)) / seconds(s.cfg.Fall)
+		return r.known.Cold(s.now, alone, s.t.KnowingShare*capable), true
 	}
 	limit := s.limit(r)
 	return r.known.Part(s.now, &r.part) * limit, limit > 0
 }
+
+// slowStartPart is this sender's part of what all senders may send on the way back: something to all alike, something by what it
+// was handed since the outage began, and something by what passed before. An even share alone starves the few senders of a
+// large fleet that hold messages. The three add up, so that the parts of all senders sum up to one where the demand of all is
+// the capacity. The greatest of the three would sum up to more, for it is another one at each sender.
+func (s *Sender) slowStartPart(r *route) float64 {
+	capacity := s.capacity(r)
+	own := r.demand / (seconds(s.now-r.struckAt) + seconds(s.t.DemandPrior))
+	part := s.t.EvenPart/float64(s.cfg.Fleet) + s.t.DemandPart*min(own/capacity, 1) + s.t.FlowPart*r.gap.Before()/capacity
+	return min(part, 1)
+}
+
+// slowStartBudget is how many calls a cold server bears in the time of the settings, of which it can do n.
+func slowStartBudget(n float64) float64 {
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
+// safeCalls is how many calls all senders together may send in the mean, so that a count that is higher by three deviations is
+// still within the budget. Calls of many senders are counted as if each came by chance.
+func safeCalls(n float64) float64 {
+	const deviations = 3
+	root := (math.Sqrt(deviations*deviations+4*slowStartBudget(n)) - deviations) / 2
+	return root * root
+}
--- a/choice/slowstart_test.go
+++ b/choice/slowstart_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -48,3 +50,52 @@
 		t.Errorf("the route is %v after a retry that passed", r.health())
 	}
 }
+
+// TestPacesOfAFleetSumUpToTheBudget guards against allowances that are each within their part and together above the budget.
+func TestPacesOfAFleetSumUpToTheBudget(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 7))
+	for range 300 {
+		nodes := 2 + rng.IntN(100)
+		limit := 2 + 120*rng.Float64()*rng.Float64()
+		load := 0.3 + 0.7*rng.Float64() // of the limit, before the outage and in it
+		shares := make([]float64, nodes)
+		total := 0.0
+		for i := range shares {
+			shares[i] = math.Pow(rng.Float64(), 3)
+			total += shares[i]
+		}
+		cfg := slowStartSettings(nodes)
+		cfg.ColdFrom = 0.15 + 0.85*rng.Float64()
+		sum, n := 0.0, cfg.FallMultiple*limit*cfg.ColdFrom*cfg.Fall.Seconds()
+		for i := range shares {
+			s := New(cfg, uint64(i))
+			r := newRoute(0, "")
+			r.limit, r.reported = limit, true
+			flow := load * limit * shares[i] / total
+			for now := time.Second; now < 31*time.Second; now += time.Second {
+				r.gap.Passed(now, flow)
+			}
+			const outage = 10.0 // seconds
+			first := rng.ExpFloat64() / flow
+			if first > outage {
+				continue // it was handed nothing, and knows nothing
+			}
+			s.now = 31*time.Second + time.Duration(first*float64(time.Second))
+			s.strike(r)
+			for at := first + rng.ExpFloat64()/flow; at < outage; at += rng.ExpFloat64() / flow {
+				r.demand++
+			}
+			s.now = 41 * time.Second
+			rate, _ := s.pace(r)
+			sum += rate * cfg.Fall.Seconds()
+		}
+		allowed := n + 2*math.Sqrt(n) + 2
+		if n < 30 {
+			allowed = n + 3*math.Sqrt(n) + 3
+		}
+		// What arrives is a sum of many small streams: three deviations of it must fit.
+		if sum+3*math.Sqrt(sum) > allowed+1e-6 {
+			t.Errorf("%d nodes at %.2f of a limit of %.1f: %.1f calls in the mean, a budget of %.1f for N of %.1f", nodes, load, limit, sum, allowed, n)
+		}
+	}
+}
