Slow start for a server that only refused calls for a second: it may be shut

Cause: a server that is shut and tells no wait looks like one at its limit. Nodes that it turned away went on at their part of the warm limit, 0.7 of it together, which is up to six times what it bears when it opens cold; a node that calls seldom never came to three refusals in a row. Change: a route that refused a call and passed none for a second is suspect, and slow start paces it. It is not struck, for a crowded limit refuses as much. The second begins after a wait that was told; where there is no limit, the window tells as before. Why it works: refusals that no pass answers count as knowledge, as they do for the rule, however many there were. Result: TestAServerThatOnlyRefusesIsMetInSlowStart failed before.

--- a/choice/health.go
+++ b/choice/health.go
@@ -96,6 +96,9 @@
 	if failed(e) && (!lone || e.Kept || !r.gap.PassedSince(s.now-s.t.SuspectSpan)) {
 		s.suspect(r)
 	}
+	if e.Outcome == NoRoom && !c.judged {
+		s.refused(r, e.Wait)
+	}
 	switch {
 	case lone, c.judged:
 	case e.Outcome == Pass:
@@ -160,6 +163,25 @@
 	s.noteHealth(r, before, "a call failed")
 }
 
+// refused notes a refusal that no pass has answered yet. A wait that was told is no silence.
+func (s *Sender) refused(r *route, wait time.Duration) {
+	if r.refusedAt == 0 {
+		r.refusedAt = s.now + wait
+	}
+}
+
+// doubt has slow start pace a route that has refused a call and passed none for long: it may be shut rather than at its limit. It is
+// not struck: a crowded limit refuses as much. Where there is no limit, the window tells.
+func (s *Sender) doubt(r *route) {
+	if r.refusedAt == 0 || r.recovering() || r.unlimited() || s.now-r.refusedAt < s.t.RefusedSpan {
+		return
+	}
+	before := r.health()
+	r.suspectAt = r.refusedAt
+	s.enterSlowStart(r)
+	s.noteHealth(r, before, "nothing but refusals")
+}
+
 // failure notes a sign of an outage. It covers every kind: refused connections, errors, silence, shut doors.
 // A route gone sick gets single trials with growing pauses; the cold budget holds until it is surely warm.
 // One failure is no outage: a run is, if it is longer than the failures met everywhere explain. So a
@@ -236,7 +258,7 @@
 	if !r.sick && r.fails == 0 {
 		s.failing.Passed()
 	}
-	r.rest, r.fails = 0, 0
+	r.rest, r.fails, r.refusedAt = 0, 0, 0
 	if gap := seconds(s.now - r.passedAt); gap > 1 {
 		r.busiest = max(r.busiest, r.passed/gap)
 		r.passed, r.passedAt = 0, s.now
--- a/choice/limit.go
+++ b/choice/limit.go
@@ -83,6 +83,7 @@
 
 // refill brings the token bucket up to now. On the way back from an outage nothing is saved up for a burst.
 func (s *Sender) refill(r *route) {
+	s.doubt(r)
 	rate, bound := s.pace(r)
 	if !bound {
 		r.tokens, r.tokensAt = 1, s.now
--- a/choice/slowstart_test.go
+++ b/choice/slowstart_test.go
@@ -99,3 +99,29 @@
 		}
 	}
 }
+
+// TestAServerThatOnlyRefusesIsMetInSlowStart guards against nodes that go on at their part of the warm limit when a shut server
+// that told no wait opens again.
+func TestAServerThatOnlyRefusesIsMetInSlowStart(t *testing.T) {
+	w := newStory(t, slowStartSettings(33), 1)
+	w.step(0, list(Entry{Endpoint: "a", Dest: 0, Weight: 10}))
+	for i := range 20 {
+		w.step(ms, w.arrive(fmt.Sprint("m", i), 0, 0))
+	}
+	for end := w.now + 3*time.Second; w.now < end; {
+		w.step(10*ms, Rang{})
+		for len(w.out) > 0 {
+			w.step(0, w.outcome(w.flights()[0].id, NoRoom, 0))
+		}
+	}
+	before := len(w.sends)
+	for end := w.now + 2*time.Second; w.now < end; { // it is open again
+		w.step(10*ms, Rang{})
+		for len(w.out) > 0 {
+			w.step(0, w.outcome(w.flights()[0].id, Pass, 0))
+		}
+	}
+	if n := len(w.sends) - before; n > 1 {
+		t.Errorf("%d calls within 2 s of the return by a node of 33, which may send one at most", n)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -124,7 +124,8 @@
 	rest      time.Duration // after the last of the refusals in a row
 	// suspectAt is the first failure, or the last of a run of refusals, that no pass has answered; 0 for none. See suspect.
 	suspectAt time.Duration
-	retry     bool // the call that may follow such a failure at once is not yet spent
+	retry     bool          // the call that may follow such a failure at once is not yet spent
+	refusedAt time.Duration // the first of them
 	sick      bool
 	harmless  bool // the last failure proved that nothing ran
 	trialAt   time.Duration
--- a/internal/faults/soak/play.go
+++ b/internal/faults/soak/play.go
@@ -147,7 +147,7 @@
 	}
 	started := make(chan error, p.day.Nodes)
 	for i := range p.day.Nodes {
-		listen, err := reserve(i)
+		listen, err := reserve()
 		if err != nil {
 			return err
 		}
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,9 +35,14 @@
 	discovery string
 }
 
-// reserve finds an address that nobody uses, on a loopback address that no outgoing connection takes a port of.
-func reserve(number int) (string, error) {
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, os.Getpid()/128%250, 1+number%250))
+// reserved counts the addresses that this process has reserved.
+var reserved atomic.Int64
+
+// reserve finds an address that nobody uses, on a loopback address that nothing else takes a port of: another day that is played
+// beside this one would, between the reservation and the start of the node.
+func reserve() (string, error) {
+	n := int(reserved.Add(1))
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, (os.Getpid()/128+n/250)%250, 1+n%250))
 	if err != nil {
 		return "", err
 	}
@@ -139,6 +145,8 @@
 		}
 		select {
 		case <-time.After(5 * time.Millisecond):
+		case <-done:
+			return fmt.Errorf("node %d has ended: see its log", n.number)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
