Slow start binds no sooner than an outage can be over, and uses the budget's real spread

Cause: a failure so soon after a pass can't be that of an outage that is over; a fleet of one got 0.7 of its own budget; the count of many paced senders was taken to spread as if each call came by chance, though nothing is saved up and each sender's count is off by one at most. Change: a route that failed is suspect at once, and paced once 3 s have passed since its last pass, the shortest outage that is taken for one; the even part grows to all of it in a fleet of one; the mean leaves three deviations of a quarter a sender, and is at most 1.15 N; 4 s instead of 5 are added to the time of the demand, which reads outages of five seconds as ones of ten. TestPacesOfAFleetSumUpToTheBudget holds with the deviation of its nodes.

--- a/choice/health.go
+++ b/choice/health.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"starlingusher/outage"
 )
 
 // Health is what a Sender believes of a route.
@@ -31,6 +33,7 @@
 	Dest     int
 	Endpoint string // empty unless the endpoint is a route apart
 	From, To Health
+	Since    time.Duration // To Recovering: when a call first passed; otherwise the first failure; 0 for Healthy
 	Reason   string
 	Failures int           // in a row, at the time of the change
 	Failing  time.Duration // since the first of them
@@ -60,6 +63,12 @@
 		return
 	}
 	change := HealthChange{Dest: r.dest, Endpoint: r.endpoint, From: before, To: after, Reason: reason, Failures: r.fails}
+	switch after {
+	case Suspect, Out:
+		change.Since = r.struckAt
+	case Recovering:
+		change.Since = r.coldFrom
+	}
 	if r.fails > 0 {
 		change.Failing = s.now - r.failedAt
 	}
@@ -150,17 +159,18 @@
 	return e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == NoRoute || e.Outcome == Cut
 }
 
-// suspect has slow start pace a route of which a call failed, until a call passes: one failure is no outage yet, but the server
-// counts on everybody who met one. A single call may follow at once, to tell the two apart.
+// suspect notes a call that failed and that no pass has answered yet: one failure is no outage, but a server that returns counts
+// on everybody who met one.
 func (s *Sender) suspect(r *route) {
-	if r.recovering() {
+	if r.sick || r.coldFrom > 0 || r.suspectAt > 0 {
 		return
 	}
 	before := r.health()
-	r.suspectAt, r.retry = s.now, true
-	s.enterSlowStart(r)
-	r.tokens = 1
+	r.suspectAt = s.now
 	s.noteHealth(r, before, "a call failed")
+	if s.doubt(r); r.doubted { // a single call may follow at once, to tell an error from an outage
+		r.retry, r.tokens = true, 1
+	}
 }
 
 // refused notes a refusal that no pass has answered yet. A wait that was told is no silence.
@@ -170,14 +180,19 @@
 	}
 }
 
-// doubt has slow start pace a route that has refused a call and passed none for long: it may be shut rather than at its limit. It is
-// not struck: a crowded limit refuses as much. Where there is no limit, the window tells.
+// doubt has slow start pace a route at which a call failed, or one was refused and none passed for long: it may be shut rather than
+// at its limit. So soon after a pass no outage can be over. It is not struck: a crowded limit refuses as much. Where there is
+// no limit, the window tells of refusals.
 func (s *Sender) doubt(r *route) {
-	if r.refusedAt == 0 || r.recovering() || r.unlimited() || s.now-r.refusedAt < s.t.RefusedSpan {
+	refused := r.refusedAt > 0 && !r.unlimited() && s.now-r.refusedAt >= s.t.RefusedSpan
+	if r.recovering() || (r.suspectAt == 0 && !refused) || r.gap.PassedSince(s.now-outage.Shortest) {
 		return
 	}
 	before := r.health()
-	r.suspectAt = r.refusedAt
+	if r.suspectAt == 0 {
+		r.suspectAt = r.refusedAt
+	}
+	r.doubted = true
 	s.enterSlowStart(r)
 	s.noteHealth(r, before, "nothing but refusals")
 }
@@ -241,7 +256,7 @@
 	if r.coldFrom > 0 {
 		r.gap.Stays() // it has been out
 	}
-	r.suspectAt = 0
+	r.suspectAt, r.doubted = 0, false
 	r.sick, r.backoff, r.coldFrom = true, s.t.TrialFirst, 0
 	r.trialAt = s.now + r.backoff
 }
@@ -255,6 +270,7 @@
 
 // passed notes a delivered call: the end of an outage, a step of the recovery, or plain health.
 func (s *Sender) passed(r *route, work float64) {
+	s.doubt(r)
 	if !r.sick && r.fails == 0 {
 		s.failing.Passed()
 	}
@@ -273,10 +289,10 @@
 		r.sick = false
 	case r.sick:
 		r.sick, r.coldFrom = false, r.known.Since(s.now, r.struckAt)
-	case r.suspectAt > 0 && (brief || s.now-r.suspectAt <= s.t.SuspectSpan):
-		r.suspectAt = 0
-	case r.suspectAt > 0: // it may have been out
-		r.suspectAt, r.coldFrom = 0, s.now
+	case r.doubted && s.now-r.suspectAt > s.t.SuspectSpan:
+		r.suspectAt, r.doubted, r.coldFrom = 0, false, s.now
+	case r.suspectAt > 0:
+		r.suspectAt, r.doubted = 0, false
 	case r.coldFrom > 0 && s.now-r.coldFrom > s.cfg.WarmWithin:
 		r.coldFrom = 0
 	}
--- a/choice/limit.go
+++ b/choice/limit.go
@@ -89,7 +89,7 @@
 		r.tokens, r.tokensAt = 1, s.now
 		return
 	}
-	if r.retry && r.suspectAt > 0 && s.now-r.suspectAt > s.t.SuspectSpan {
+	if r.retry && r.doubted && s.now-r.suspectAt > s.t.SuspectSpan {
 		r.retry = false
 		r.tokens = min(r.tokens, s.rng.Float64())
 	}
--- a/choice/slowstart.go
+++ b/choice/slowstart.go
@@ -36,7 +36,7 @@
 func (s *Sender) paceAt(r *route, share float64) (rate float64, bound bool) {
 	if r.recovering() && s.cfg.Fall > 0 && s.cfg.FallMultiple > 0 {
 		capable := s.cfg.FallMultiple * share * s.capacity(r)
-		alone := s.slowStartPart(r) * safeCalls(capable*seconds(s.cfg.Fall)) / seconds(s.cfg.Fall)
+		alone := s.slowStartPart(r) * safeCalls(capable*seconds(s.cfg.Fall), s.cfg.Fleet) / seconds(s.cfg.Fall)
 		return r.known.Cold(s.now, alone, s.t.KnowingShare*capable), true
 	}
 	limit := s.limit(r)
@@ -50,8 +50,10 @@
 func (s *Sender) slowStartPart(r *route) float64 {
 	capacity := s.capacity(r)
 	own := r.demand / (seconds(s.now-r.struckAt) + seconds(s.t.DemandPrior))
-	part := s.t.EvenPart/float64(s.cfg.Fleet) + s.t.DemandPart*min(own/capacity, 1) + s.t.FlowPart*r.gap.Before()/capacity
-	return min(part, 1)
+	even := 1 / float64(s.cfg.Fleet)
+	known := s.t.DemandPart*min(own/capacity, 1) + s.t.FlowPart*r.gap.Before()/capacity
+	// Of a fleet of one, the even share is all there is; the more senders there are, the less does it tell.
+	return min(even*(s.t.EvenPart+(1-s.t.EvenPart)*even)+(1-even)*known, 1)
 }
 
 // slowStartBudget is how many calls a cold server bears in the time of the settings, of which it can do n.
@@ -62,10 +64,13 @@
 	return n + 2*math.Sqrt(n) + 2
 }
 
-// safeCalls is how many calls all senders together may send in the mean, so that a count that is higher by three deviations is
-// still within the budget. Calls of many senders are counted as if each came by chance.
-func safeCalls(n float64) float64 {
-	const deviations = 3
-	root := (math.Sqrt(deviations*deviations+4*slowStartBudget(n)) - deviations) / 2
-	return root * root
+// safeCalls is how many calls all senders together may send in the mean, of which a cold server can do n, so that a count that is
+// higher by three deviations is still within its budget. The count of each of the senders is off by one at most, since nothing is
+// saved up: their variances sum up to a quarter a sender, or to the mean where each sends seldom.
+func safeCalls(n float64, senders int) float64 {
+	const deviations, most = 3, 1.15 // a little more than it can do is served from the queue
+	budget := slowStartBudget(n)
+	root := (math.Sqrt(deviations*deviations+4*budget) - deviations) / 2
+	even := budget - deviations*math.Sqrt(float64(senders)/4)
+	return min(max(root*root, even), max(most*n, 1))
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -122,10 +122,10 @@
 	failedAt  time.Duration // the first of them
 	gap       outage.Gap    // since the last pass
 	rest      time.Duration // after the last of the refusals in a row
-	// suspectAt is the first failure, or the last of a run of refusals, that no pass has answered; 0 for none. See suspect.
-	suspectAt time.Duration
-	retry     bool          // the call that may follow such a failure at once is not yet spent
-	refusedAt time.Duration // the first of them
+	suspectAt time.Duration // the first failure that no pass has answered; 0 for none
+	doubted   bool          // it may have been out for long enough to come back cold: slow start paces it
+	retry     bool          // the call that may follow a failure at once is not yet spent
+	refusedAt time.Duration // the first refusal that no pass has answered; 0 for none
 	sick      bool
 	harmless  bool // the last failure proved that nothing ran
 	trialAt   time.Duration
@@ -345,8 +345,8 @@
 	return fresh
 }
 
-// recovering tells that the route is struck or may be, or is not yet surely warm again: slow start paces it.
-func (r *route) recovering() bool { return r.sick || r.coldFrom > 0 || r.suspectAt > 0 }
+// recovering tells that the route is struck or may have been out, or is not yet surely warm again: slow start paces it.
+func (r *route) recovering() bool { return r.sick || r.coldFrom > 0 || r.doubted }
 
 // oldest is for how long the message has waited that has waited the longest.
 func (d *destination) oldest(now time.Duration) time.Duration {
--- a/choice/tuned.go
+++ b/choice/tuned.go
@@ -26,7 +26,7 @@
 	KnowingShare     float64       `tune:"0.9 0.5..1"`                  // of what a cold server can do, where senders that talk divide it
 	EvenPart         float64       `tune:"0.25 0..1"`                   // of what all may send on the way back, to all senders alike,
 	DemandPart       float64       `tune:"0.35 0..1"`                   // by what a sender was handed since the outage began,
-	DemandPrior      time.Duration `tune:"5s 2s..10s"`                  // added to the time of that demand: its first message came by chance, and would read as a high rate
+	DemandPrior      time.Duration `tune:"4s 2s..10s"`                  // added to the time of that demand: its first message came by chance, and would read as a high rate
 	FlowPart         float64       `tune:"0.5 0..1"`                    // and by what passed before; with a demand as large as the capacity they sum up to one
 	RoughWeight      float64       `tune:"1.5 1..2"`                    // a rough weight may be this many times too high
 	CrowdedSpan      time.Duration `tune:"30s 5s..120s"`                // Connections: idle ones are given back so long after a sign of a full table
