--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,8 @@
 		switch e := e.(type) {
 		case Waits:
 			s.toldBefore(e)
+		case Outage:
+			s.outBefore(e)
 		case Heard:
 			s.heard(e)
 		case Arrived:
--- a/choice/health.go
+++ b/choice/health.go
@@ -154,6 +154,27 @@
 	}
 }
 
+// outBefore takes over what an earlier life knew of a route. Whether it has come back meanwhile, and when, is not known: the way
+// back begins with the first call that passes.
+func (s *Sender) outBefore(e Outage) {
+	r := s.route(e.Dest, e.Endpoint)
+	if r == nil || r.recovering() || e.Health == Healthy {
+		return
+	}
+	since := max(min(e.Since, s.now), 1)
+	if e.Health == Recovering && s.now-since > s.cfg.WarmWithin {
+		return
+	}
+	s.enterSlowStart(r)
+	r.struckAt = since
+	if e.Health == Recovering {
+		r.coldFrom = since
+	} else {
+		r.suspectAt, r.doubted = max(min(since, s.now-s.t.SuspectSpan-1), 1), true
+	}
+	s.noteHealth(r, Healthy, "known before the restart")
+}
+
 // failed tells that an outcome is that of a call that failed, whatever the reason.
 func failed(e Ended) bool {
 	return e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == NoRoute || e.Outcome == Cut
--- a/choice/types.go
+++ b/choice/types.go
@@ -124,7 +124,7 @@
 	Single     bool // a call there never holds more than one message
 }
 
-// Event is one piece of news for a sender: Listed, Waits, Heard, Arrived, Resumed, Ended, Dropped, Probed, Rang
+// Event is one piece of news for a sender: Listed, Waits, Outage, Heard, Arrived, Resumed, Ended, Dropped, Probed, Rang
 // or Leaving.
 type Event interface{ event() }
 
@@ -141,6 +141,15 @@
 	Until    time.Duration
 }
 
+// Outage is what an earlier life knew of a route that it did not hold for healthy: see HealthChange. It comes before the
+// messages that are resumed. Endpoint is empty unless it is a route apart.
+type Outage struct {
+	Dest     int
+	Endpoint string
+	Health   Health
+	Since    time.Duration
+}
+
 // Heard is what other nodes of the fleet know of a destination, where nodes talk. Endpoint is empty unless it is a route
 // apart. What was heard before of the same is over.
 type Heard struct {
@@ -208,6 +217,7 @@
 func (Listed) event()  {}
 func (Heard) event()   {}
 func (Waits) event()   {}
+func (Outage) event()  {}
 func (Arrived) event() {}
 func (Resumed) event() {}
 func (Ended) event()   {}
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -391,6 +391,7 @@
 			(&Endpoint{wait: shared}).Wait(until)
 		}
 	}
+	events = append(events, n.outagesBefore()...)
 	// In the order in which they were taken on.
 	for _, seq := range slices.Sorted(maps.Keys(n.journal.live)) {
 		p := n.journal.live[seq]
@@ -408,8 +409,8 @@
 		}
 		events = append(events, n.resumed(p))
 	}
-	if len(n.messages) > 0 {
-		n.log.Info("journal replayed", "resumed", n.held+n.again, "ends", ended)
+	if len(n.messages) > 0 || len(n.journal.outages) > 0 {
+		n.log.Info("journal replayed", "resumed", n.held+n.again, "ends", ended, "routes_not_healthy", len(n.journal.outages))
 	}
 	return events
 }
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -34,6 +34,7 @@
 	recAgain                      // a further life was taken on; older builds pass it over
 	recWait                       // a destination, or a route apart, asked to be left alone; likewise
 	recChain                      // how far the chain of copies had come before the records that follow; likewise
+	recOutage                     // the health of a route; likewise
 )
 
 // MaxBody is how many bytes a message's body holds at most.
@@ -151,6 +152,7 @@
 	written int64 // good bytes in the file
 	live    map[uint64]*past
 	waits   map[waiter]time.Time // until when they asked to be left alone
+	outages map[waiter]outage    // routes that were not healthy when last heard of
 	held    int64                // sum of the sizes of what is live
 	lent    int64                // the part of it that further lives take
 	pending []byte               // records not yet in the file
@@ -198,7 +200,7 @@
 			lock.Close()
 		}
 	}()
-	j := &journal{dir: dir, lock: lock, budget: int64(diskMB*(1<<20)) - 16<<10, live: map[uint64]*past{}, waits: map[waiter]time.Time{}, next: 1}
+	j := &journal{dir: dir, lock: lock, budget: int64(diskMB*(1<<20)) - 16<<10, live: map[uint64]*past{}, waits: map[waiter]time.Time{}, outages: map[waiter]outage{}, next: 1}
 	// A compaction that was cut short left its file; the old one is still whole.
 	if err = os.Remove(j.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
@@ -302,6 +304,10 @@
 	if payload[0] == recChain {
 		return
 	}
+	if payload[0] == recOutage {
+		j.applyOutage(f)
+		return
+	}
 	if payload[0] == recWait {
 		w := waiter{dest: int(f.number()), endpoint: string(f.bytes())}
 		if until := f.time(); !f.bad && until.After(j.waits[w]) {
@@ -470,14 +476,16 @@
 	}
 }
 
-// waitsSize is about the room that the waits take, which compaction writes again.
-func (j *journal) waitsSize() int64 { return int64(len(j.waits)) * waitReserve }
+// routesSize is about the room that waits and outages take, which compaction writes again.
+func (j *journal) routesSize() int64 {
+	return int64(len(j.waits))*waitReserve + int64(len(j.outages))*outageReserve
+}
 
 // running returns the waits that have not ended, at most so many as are kept, those that end last first, and forgets the others.
 func (j *journal) running(now time.Time) []waiter {
 	maps.DeleteFunc(j.waits, func(_ waiter, until time.Time) bool { return !until.After(now) })
 	all := slices.SortedFunc(maps.Keys(j.waits), func(a, b waiter) int {
-		return cmp.Or(j.waits[b].Compare(j.waits[a]), cmp.Compare(a.dest, b.dest), cmp.Compare(a.endpoint, b.endpoint))
+		return cmp.Or(j.waits[b].Compare(j.waits[a]), compareWaiters(a, b))
 	})
 	for len(all) > maxWaits {
 		delete(j.waits, all[len(all)-1])
@@ -486,6 +494,11 @@
 	return all
 }
 
+// compareWaiters orders by destination and endpoint.
+func compareWaiters(a, b waiter) int {
+	return cmp.Or(cmp.Compare(a.dest, b.dest), cmp.Compare(a.endpoint, b.endpoint))
+}
+
 // outcomeRecord is of recNotRun, recTurnedAway or recFailed.
 func outcomeRecord(kind byte, seq uint64, attempt int) []byte {
 	return binary.AppendUvarint(record(kind, seq), uint64(attempt))
@@ -506,7 +519,7 @@
 	if j.broken {
 		return nil, errJournalDown
 	}
-	if 2*(j.held+p.size()+j.waitsSize())+int64(len(j.pending)) > j.budget {
+	if 2*(j.held+p.size()+j.routesSize())+int64(len(j.pending)) > j.budget {
 		return nil, errDiskBudget
 	}
 	if p.again() && j.lent+p.size() > j.budget/lentShare {
@@ -575,6 +588,9 @@
 	for _, w := range j.running(time.Now()) {
 		put(waitRecord(w, j.waits[w]))
 	}
+	for w, o := range j.outages {
+		put(outageRecord(w, o))
+	}
 	for _, p := range j.live {
 		put(takenRecord(p))
 		for i, s := range p.sends {
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -171,7 +171,9 @@
 	if n.cfg.Recorder != nil {
 		n.cfg.Recorder.Stepped(now, events, actions)
 	}
-	n.logHealth()
+	changes := n.sender.HealthChanges()
+	n.logHealth(changes)
+	n.noteHealth(changes)
 	for _, a := range actions {
 		switch a := a.(type) {
 		case choice.Send:
--- a/delivery/signals.go
+++ b/delivery/signals.go
@@ -26,9 +26,9 @@
 	n.log.Info("attempt ended", attrs...)
 }
 
-// logHealth logs what the last step changed of the health of routes.
-func (n *Engine) logHealth() {
-	for _, c := range n.sender.HealthChanges() {
+// logHealth logs changes of the health of routes.
+func (n *Engine) logHealth(changes []choice.HealthChange) {
+	for _, c := range changes {
 		n.log.Info("route health", "destination", c.Dest, "endpoint", c.Endpoint, "from", c.From.String(), "to", c.To.String(),
 			"reason", c.Reason, "failures", c.Failures, "failing_for", c.Failing, slog.Float64("rate_per_s", c.Rate))
 	}
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -77,7 +77,10 @@
 func (s *server) addAddr() (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	addr, err := s.listen("127.0.0.1:0")
+	addr, err := reserve() // another server would take the port while this one refuses connections
+	if err == nil {
+		addr, err = s.listen(addr)
+	}
 	if err == nil {
 		s.addrs = append(s.addrs, addr)
 	}
--- a/record/record.go
+++ b/record/record.go
@@ -73,6 +73,7 @@
 	Rang    *choice.Rang    `cbor:"8,keyasint,omitempty"`
 	Leaving *choice.Leaving `cbor:"9,keyasint,omitempty"`
 	Heard   *choice.Heard   `cbor:"10,keyasint,omitempty"`
+	Outage  *choice.Outage  `cbor:"11,keyasint,omitempty"`
 }
 
 // Action is one of choice's; one of its fields is set.
@@ -98,6 +99,8 @@
 		return Event{Listed: &e}
 	case choice.Waits:
 		return Event{Waits: &e}
+	case choice.Outage:
+		return Event{Outage: &e}
 	case choice.Arrived:
 		e.Key = hide(e.Key)
 		return Event{Arrived: &e}
@@ -127,6 +130,8 @@
 		return *e.Listed, nil
 	case e.Waits != nil:
 		return *e.Waits, nil
+	case e.Outage != nil:
+		return *e.Outage, nil
 	case e.Arrived != nil:
 		return *e.Arrived, nil
 	case e.Resumed != nil:
