Deadlines, windows and waits hold when the wall clock is stepped, across restarts too

After a step forward by an hour a restart gave up all that was taken on; after a step back a keyed message was repeated beyond its window; a step within a life ended a told wait early. On another start of the machine the wall clock serves: a keyed message that may have run is not repeated, and no deadline is further away than its class gives. An endpoint's wait counts from the engine's start. A step of a second and more is a line in the log. A comparison of journals leaves the readings of the monotonic clock out, which each life has its own of.

--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -114,7 +114,7 @@
 	if n.cfg.Keeper != nil {
 		endpoint = e.ID
 	}
-	p.home.add(attemptRecord(p.seq, now, e.zone, endpoint))
+	p.home.add(attemptRecord(p.seq, p.home.clock.stamp(now), e.zone, endpoint))
 	out := Attempt{ID: p.id, Key: p.key, Class: p.class, Dest: p.dest, Ref: p.ref(), Body: p.body, Endpoint: e,
 		NotPast: n.wall(a.NotPast), Fresh: a.Fresh, Number: name.n}
 	if a.BeginBy > 0 {
--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -226,7 +226,7 @@
 	l := Lost{Ref: p.ref(), Key: p.key, Class: p.class, Tenant: p.tenant, Dest: p.dest, Body: p.body, State: e.state, Code: e.code,
 		Due: p.deadline, Ended: now, Wait: p.wait, Again: p.again()}
 	if w := n.waits[p.dest]; w != nil {
-		if until := time.Unix(0, w.Load()); until.After(l.Wait) {
+		if until := n.start.Add(time.Duration(w.Load())); until.After(l.Wait) {
 			l.Wait = until
 		}
 	}
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -51,6 +51,8 @@
 	Shared Shared
 	// Copies holds the journal on further nodes; nil for on none.
 	Copies Copies
+	// Boot is the machine's clock, by which spans of time hold across restarts; nil where the wall clock has to serve.
+	Boot BootClock
 }
 
 // Message is one piece of work as a front hands it in.
@@ -185,12 +187,13 @@
 		}
 		n.fronts[f.Name] = &front{Front: f, owed: mailbox{more: make(chan struct{}, 1)}}
 	}
-	j, err := openJournal(cfg.State, cfg.DiskMB)
+	j, err := openJournal(cfg.State, cfg.DiskMB, n.start, cfg.Boot)
 	if err != nil {
 		return nil, err
 	}
 	n.journal = j
 	j.copied = cfg.Copies != nil
+	n.logClock()
 	if err := n.check(); err != nil {
 		n.closeAll()
 		return nil, err
@@ -388,7 +391,7 @@
 		if e := n.eps[w.endpoint]; e != nil {
 			e.Wait(until)
 		} else if shared := n.waits[w.dest]; shared != nil && w.endpoint == "" {
-			(&Endpoint{wait: shared}).Wait(until)
+			(&Endpoint{base: n.start, wait: shared}).Wait(until)
 		}
 	}
 	events = append(events, n.outagesBefore()...)
@@ -446,6 +449,10 @@
 			r.Touched, r.MayRun, r.Zone = true, n.at(s.at), s.zone
 		}
 	}
+	if p.home.reboot { // the wall clock may have been stepped: no repeat by it, and no deadline further away than ever
+		r.MayRun = min(r.MayRun, 1)
+		r.DropDead = min(r.DropDead, n.now()+n.cfg.Settings.Classes[p.class].Deadline)
+	}
 	return r
 }
 
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -232,7 +232,7 @@
 }
 
 func (n *Engine) takeOver(i inherit) []choice.Event {
-	j, err := openJournal(i.dir, n.cfg.DiskMB)
+	j, err := openJournal(i.dir, n.cfg.DiskMB, n.start, n.cfg.Boot)
 	if err != nil {
 		i.reply <- fmt.Errorf("%w: %w", ErrNotInherited, err)
 		return nil
@@ -267,7 +267,7 @@
 		}
 		*n.count(p)++
 		if i.stale && n.cfg.Settings.Classes[p.class].Effect != choice.Safe {
-			j.add(attemptRecord(p.seq, time.Now(), 0, ""))
+			j.add(attemptRecord(p.seq, j.clock.stamp(time.Now()), 0, ""))
 		}
 		if n.cfg.Recorder != nil {
 			n.cfg.Recorder.Handed(Handed{Name: p.name(), Front: p.front, ID: p.id, Came: n.now()})
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -35,6 +35,7 @@
 	recWait                       // a destination, or a route apart, asked to be left alone; likewise
 	recChain                      // how far the chain of copies had come before the records that follow; likewise
 	recOutage                     // the health of a route; likewise
+	recClock                      // a stamp beside the machine's clock; likewise
 )
 
 // MaxBody is how many bytes a message's body holds at most.
@@ -93,7 +94,7 @@
 	if p.again() {
 		return Ref{p.front, p.id, p.first}
 	}
-	return Ref{p.front, p.id, p.deadline}
+	return Ref{p.front, p.id, p.home.clock.stamp(p.deadline)}
 }
 
 // pastSend is an attempt. One that has not failed was out when the journal ended, and may have run as well.
@@ -149,7 +150,10 @@
 	budget  int64
 	lock    *os.File // the folder itself
 	f       *os.File
-	written int64 // good bytes in the file
+	clock   timeline
+	read    reading // of the machine's clock when it was opened; without a boot where there is none
+	reboot  bool    // the machine was started anew since the last life
+	written int64   // good bytes in the file
 	live    map[uint64]*past
 	waits   map[waiter]time.Time // until when they asked to be left alone
 	outages map[waiter]outage    // routes that were not healthy when last heard of
@@ -186,8 +190,8 @@
 	return d, nil
 }
 
-// openJournal replays the journal in dir, as far as its records are whole.
-func openJournal(dir string, diskMB float64) (_ *journal, err error) {
+// openJournal replays the journal in dir, as far as its records are whole. The life that it begins starts now.
+func openJournal(dir string, diskMB float64, now time.Time, clock BootClock) (_ *journal, err error) {
 	if diskMB <= 0 {
 		diskMB = defaultDiskMB
 	}
@@ -210,6 +214,11 @@
 		return nil, fmt.Errorf("journal: %w", err)
 	}
 	j.f = f
+	last, err := lastReading(f)
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
+	}
+	j.clock, j.read, j.reboot = resume(now, clock, last)
 	r := bufio.NewReaderSize(f, 64<<10)
 	for {
 		payload, err := readRecord(r)
@@ -223,9 +232,33 @@
 	if err = j.rewind(); err != nil {
 		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
 	}
+	if j.read.boot != "" {
+		j.add(clockRecord(j.read))
+	}
 	return j, nil
 }
 
+// lastReading finds the last reading of the machine's clock in a journal's file, and goes back to its beginning.
+func lastReading(f *os.File) (last reading, err error) {
+	r := bufio.NewReaderSize(f, 64<<10)
+	for {
+		payload, err := readRecord(r)
+		if err != nil {
+			break // the end, or a torn tail
+		}
+		if payload[0] != recClock {
+			continue
+		}
+		fields := &fields{b: payload[1:]}
+		fields.number()
+		if read := fields.reading(); !fields.bad {
+			last = read
+		}
+	}
+	_, err = f.Seek(0, io.SeekStart)
+	return last, err
+}
+
 func (j *journal) path() string { return filepath.Join(j.dir, journalName) }
 
 func readRecord(r io.Reader) ([]byte, error) {
@@ -249,8 +282,9 @@
 
 // fields reads the fields of a payload; bad is set when it is too short.
 type fields struct {
-	b   []byte
-	bad bool
+	b     []byte
+	bad   bool
+	clock timeline
 }
 
 func (f *fields) number() uint64 {
@@ -274,7 +308,16 @@
 	return v
 }
 
-func (f *fields) time() time.Time { return time.UnixMicro(int64(f.number())) }
+// wall reads a time that belongs to no life, and time one that goes on the clock of this life.
+func (f *fields) wall() time.Time { return time.UnixMicro(int64(f.number())) }
+
+func (f *fields) time() time.Time {
+	stamp := f.wall()
+	if since := stamp.Sub(f.clock.zero); since > longestSpan || since < -longestSpan {
+		f.bad = true
+	}
+	return f.clock.life(stamp)
+}
 
 // message reads what all records begin with that take a message on; messageRecord writes it.
 func (f *fields) message(seq uint64) *past {
@@ -299,9 +342,9 @@
 
 // apply brings what is live up to date with one record.
 func (j *journal) apply(payload []byte) {
-	f := &fields{b: payload[1:]}
+	f := &fields{b: payload[1:], clock: j.clock}
 	seq := f.number()
-	if payload[0] == recChain {
+	if payload[0] == recChain || payload[0] == recClock {
 		return
 	}
 	if payload[0] == recOutage {
@@ -336,7 +379,7 @@
 		}
 	case recAgain:
 		p = f.message(seq)
-		p.front, p.first = string(f.bytes()), f.time()
+		p.front, p.first = string(f.bytes()), f.wall()
 		if f.number() == 1 {
 			p.mayRun, p.mayZone = f.time(), int32(f.number())
 		}
@@ -443,6 +486,16 @@
 	return appendTenant(binary.AppendUvarint(appendTime(append(b, 1), p.mayRun), uint64(p.mayZone)), p)
 }
 
+// taken is what a message of this life is taken on by.
+func (j *journal) taken(p *past) []byte {
+	stamped := *p
+	stamped.deadline = j.clock.stamp(p.deadline)
+	if !p.mayRun.IsZero() {
+		stamped.mayRun = j.clock.stamp(p.mayRun)
+	}
+	return takenRecord(&stamped)
+}
+
 // takenRecord is what a message is taken on by.
 func takenRecord(p *past) []byte {
 	if p.again() {
@@ -468,8 +521,9 @@
 
 // wait notes a wait that was told. One that ends no later than what is noted of the same is not written.
 func (j *journal) wait(w waiter, until time.Time) {
-	if until = until.Truncate(time.Microsecond); until.After(j.waits[w]) {
-		j.add(waitRecord(w, until))
+	stamp := j.clock.stamp(until)
+	if j.clock.life(stamp).After(j.waits[w]) {
+		j.add(waitRecord(w, stamp))
 	}
 	if len(j.waits) > 2*maxWaits {
 		j.running(time.Now())
@@ -526,7 +580,7 @@
 		return nil, errDiskBudget
 	}
 	p.seq = j.next
-	j.add(takenRecord(p))
+	j.add(j.taken(p))
 	return j.live[p.seq], nil
 }
 
@@ -585,16 +639,19 @@
 		n, _ := w.Write(appendRecord(nil, payload)) // the error stays with w
 		size += int64(n)
 	}
+	if j.read.boot != "" {
+		put(clockRecord(j.read))
+	}
 	for _, w := range j.running(time.Now()) {
-		put(waitRecord(w, j.waits[w]))
+		put(waitRecord(w, j.clock.stamp(j.waits[w])))
 	}
 	for w, o := range j.outages {
-		put(outageRecord(w, o))
+		put(outageRecord(w, outage{o.health, j.clock.stamp(o.since)}))
 	}
 	for _, p := range j.live {
-		put(takenRecord(p))
+		put(j.taken(p))
 		for i, s := range p.sends {
-			put(attemptRecord(p.seq, s.at, s.zone, s.endpoint))
+			put(attemptRecord(p.seq, j.clock.stamp(s.at), s.zone, s.endpoint))
 			switch {
 			case s.notRun && s.failed:
 				put(outcomeRecord(recNotRun, p.seq, i))
--- a/delivery/journal_test.go
+++ b/delivery/journal_test.go
@@ -7,13 +7,14 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
 
 func openTest(t *testing.T, dir string, mb float64) *journal {
 	t.Helper()
-	j, err := openJournal(dir, mb)
+	j, err := openJournal(dir, mb, time.Now(), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,6 +70,13 @@
 		}
 		gc, wc := *g, *w
 		gc.body, wc.body, gc.home, wc.home = nil, nil, nil, nil
+		for _, p := range []*past{&gc, &wc} { // each life has a monotonic clock of its own
+			p.deadline, p.first, p.mayRun = p.deadline.Round(0), p.first.Round(0), p.mayRun.Round(0)
+			p.sends = slices.Clone(p.sends)
+			for i := range p.sends {
+				p.sends[i].at = p.sends[i].at.Round(0)
+			}
+		}
 		if !reflect.DeepEqual(gc, wc) {
 			t.Errorf("got %+v, want %+v", gc, wc)
 		}
--- a/delivery/list.go
+++ b/delivery/list.go
@@ -11,7 +11,7 @@
 
 // endpoint makes an endpoint of a list's member.
 func (n *Engine) endpoint(m Member) *Endpoint {
-	return &Endpoint{ID: m.ID, Addr: m.Addr, addrs: m.Addrs, zone: m.Zone, shut: make(chan struct{}), wait: n.waitOf(m)}
+	return &Endpoint{ID: m.ID, Addr: m.Addr, addrs: m.Addrs, zone: m.Zone, shut: make(chan struct{}), base: n.start, wait: n.waitOf(m)}
 }
 
 // listed brings the endpoints up to date. Calls that have not written their first byte hear of it by Shut.
--- a/delivery/outages.go
+++ b/delivery/outages.go
@@ -41,7 +41,7 @@
 // noteHealth writes what the last step changed of the health of routes, so that the next life goes on with it.
 func (n *Engine) noteHealth(changes []choice.HealthChange) {
 	for _, c := range changes {
-		w, o := waiter{c.Dest, c.Endpoint}, outage{health: c.To, since: n.wall(c.Since)}
+		w, o := waiter{c.Dest, c.Endpoint}, outage{health: c.To, since: n.journal.clock.stamp(n.wall(c.Since))}
 		if _, noted := n.journal.outages[w]; noted || c.To != choice.Healthy {
 			n.journal.add(outageRecord(w, o))
 		}
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -248,12 +248,13 @@
 	addrs map[string]string
 	zone  int
 	shut  chan struct{} // closed when it drains or is gone
-	wait  *atomic.Int64 // Unix time in nanoseconds; its destination, or route, asked to be left alone until then
+	base  time.Time     // what wait counts from, with a reading of the monotonic clock
+	wait  *atomic.Int64 // in nanoseconds; its destination, or route, asked to be left alone until then; 0 if it did not
 }
 
 // NewEndpoint makes an endpoint that stands on no list, as tests of carriers need it.
 func NewEndpoint(id, addr string) *Endpoint {
-	return &Endpoint{ID: id, Addr: addr, shut: make(chan struct{}), wait: new(atomic.Int64)}
+	return &Endpoint{ID: id, Addr: addr, shut: make(chan struct{}), base: time.Now(), wait: new(atomic.Int64)}
 }
 
 // AddrFor is where a front calls the endpoint.
@@ -272,7 +273,7 @@
 
 // Wait says that the endpoint's destination asked to be left alone until then. A later time stays.
 func (e *Endpoint) Wait(until time.Time) {
-	for to := until.UnixNano(); ; {
+	for to := int64(until.Sub(e.base)); ; {
 		old := e.wait.Load()
 		if old >= to || e.wait.CompareAndSwap(old, to) {
 			return
@@ -291,4 +292,6 @@
 }
 
 // ClosedTo tells that nothing new may go to the endpoint now.
-func (e *Endpoint) ClosedTo(now time.Time) bool { return e.Gone() || now.UnixNano() < e.wait.Load() }
+func (e *Endpoint) ClosedTo(now time.Time) bool {
+	return e.Gone() || int64(now.Sub(e.base)) < e.wait.Load()
+}
--- a/delivery/signals.go
+++ b/delivery/signals.go
@@ -39,6 +39,20 @@
 	n.log.Info("message refused", "message", id, "class", class, "destination", dest, "reason", why, "come_after", after)
 }
 
+// leastStep is how far the wall clock has to be from the journal's for a line in the log.
+const leastStep = time.Second
+
+// logClock logs that the wall clock was stepped since the journal was begun, or that it had to serve.
+func (n *Engine) logClock() {
+	c := n.journal.clock
+	if step := c.start.Round(0).Sub(c.zero); step.Abs() >= leastStep {
+		n.log.Warn("the wall clock was stepped", "by", step.Round(time.Millisecond))
+	}
+	if n.journal.reboot {
+		n.log.Warn("the machine was started anew: the wall clock tells how long ago", "clock", c.zero)
+	}
+}
+
 // logEnd logs a message that was taken on and ends undelivered.
 func (n *Engine) logEnd(p *past, e ending) {
 	if e.state == Delivered {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -36,7 +36,7 @@
 // Engine is what the configuration tells an engine: all but where changes of the list come from.
 func (c Config) Engine() delivery.Config {
 	return delivery.Config{
-		State: c.State, DiskMB: c.Limits.DiskMB, Settings: c.Settings, Seed: c.Seed, Known: c.Known.told(c.Names),
+		State: c.State, DiskMB: c.Limits.DiskMB, Settings: c.Settings, Seed: c.Seed, Known: c.Known.told(c.Names), Boot: bootClock,
 	}
 }
 
