A dial that fails by this machine is tried again, and is no outage of the server

Cause: ENFILE, EMFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL of a dial came back as "no route": a sign of an outage of a server that nobody had asked. Two of them struck it, and each used one of the message's attempts up. Change: such a dial is made again after 5 to 100 ms within the call's time; if it never can be, the call is proven not sent and says nothing of the server. ECONNREFUSED, ENETUNREACH, EHOSTUNREACH, ETIMEDOUT and ECONNABORTED are the server's, as before. A test has the listener outlast twelve errors of accept, which it did before.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -117,7 +117,9 @@
 	} else {
 		var err error
 		c.Times.Dial()
-		if k, err = p.dial(ctx, c.Endpoint.Addr); err != nil {
+		if k, err = p.dial(ctx, c.Endpoint.Addr); errors.Is(err, errNoLocal) {
+			return delivery.Result{Outcome: choice.Stale, NotRun: true, Err: err}
+		} else if err != nil {
 			return delivery.Result{Outcome: choice.NoRoute, NotRun: true, Err: err}
 		}
 		c.Times.Connect()
@@ -172,7 +174,7 @@
 }
 
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
-	nc, err := p.connect(ctx, "tcp", addr)
+	nc, err := redial(ctx, func() (net.Conn, error) { return p.connect(ctx, "tcp", addr) })
 	if err != nil {
 		return nil, err
 	}
