--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -53,6 +53,8 @@
 	Copies Copies
 	// Boot is the machine's clock, by which spans of time hold across restarts; nil where the wall clock has to serve.
 	Boot BootClock
+
+	files fileSystem // of tests; nil for the system's
 }
 
 // Message is one piece of work as a front hands it in.
@@ -94,36 +96,38 @@
 // Engine takes messages on and sees them to their ends. One goroutine, in loop, owns all that is not said to be
 // shared.
 type Engine struct {
-	cfg       Config
-	log       *slog.Logger
-	sender    *choice.Sender
-	journal   *journal
-	fronts    map[string]*front // fixed
-	batchers  []Batcher         // the carriers, if all of them are; fixed
-	start     time.Time
-	events    chan any
-	stopping  chan struct{}    // closed when nothing new is taken on any more
-	over      chan struct{}    // closed when the loop has ended
-	messages  map[string]*past // all in the journal, by front and id: see ref
-	out       map[attempt]outCall
-	eps       map[string]*Endpoint
-	waits     map[int]*atomic.Int64 // of destinations whose endpoints share them
-	waitsMost int                   // with more of them, those of destinations that are not known any more are dropped
-	held      int                   // messages without their final answer, further lives not counted
-	again     int                   // further lives
-	lost      []Lost                // for the keeper, before the next flush
-	late      []Ref                 // likewise
-	acts      []act                 // what the records that are not yet written guard, in order
-	hold      holding               // with Copies
-	inherited map[uint64]*journal   // by the base of their messages' numbers
-	homes     uint64                // how many were ever inherited
-	wakeAt    time.Duration         // of the module; 0 none
-	calls     sync.WaitGroup
-	jobs      chan func()     // to a worker that is idle
-	quit      chan struct{}   // closed when no more calls come
-	first     []choice.Event  // the list that it was opened with, and what the source told before anything was sent
-	byes      []chan struct{} // of waiters who go, and may have an end among acts
-	closed    sync.Once
+	cfg      Config
+	log      *slog.Logger
+	sender   *choice.Sender
+	journal  *journal
+	fronts   map[string]*front // fixed
+	batchers []Batcher         // the carriers, if all of them are; fixed
+	start    time.Time
+	events   chan any
+	stopping chan struct{}    // closed when nothing new is taken on any more
+	over     chan struct{}    // closed when the loop has ended
+	messages map[string]*past // all in the journal, by front and id: see ref
+	out      map[attempt]outCall
+	eps      map[string]*Endpoint
+	waits    map[int]*atomic.Int64 // of destinations whose endpoints share them
+	// journalDown is since when the journal can't be written; zero while it can.
+	journalDown time.Time
+	waitsMost   int                 // with more of them, those of destinations that are not known any more are dropped
+	held        int                 // messages without their final answer, further lives not counted
+	again       int                 // further lives
+	lost        []Lost              // for the keeper, before the next flush
+	late        []Ref               // likewise
+	acts        []act               // what the records that are not yet written guard, in order
+	hold        holding             // with Copies
+	inherited   map[uint64]*journal // by the base of their messages' numbers
+	homes       uint64              // how many were ever inherited
+	wakeAt      time.Duration       // of the module; 0 none
+	calls       sync.WaitGroup
+	jobs        chan func()     // to a worker that is idle
+	quit        chan struct{}   // closed when no more calls come
+	first       []choice.Event  // the list that it was opened with, and what the source told before anything was sent
+	byes        []chan struct{} // of waiters who go, and may have an end among acts
+	closed      sync.Once
 }
 
 // Events of the loop.
@@ -187,7 +191,7 @@
 		}
 		n.fronts[f.Name] = &front{Front: f, owed: mailbox{more: make(chan struct{}, 1)}}
 	}
-	j, err := openJournal(cfg.State, cfg.DiskMB, n.start, cfg.Boot)
+	j, err := n.openWhenReady()
 	if err != nil {
 		return nil, err
 	}
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -98,6 +98,12 @@
 
 // write has all journals written, and tells the copies what is new.
 func (n *Engine) write() error {
+	err := n.writeAll()
+	n.noteJournal(err)
+	return err
+}
+
+func (n *Engine) writeAll() error {
 	if n.cfg.Copies == nil && len(n.inherited) == 0 {
 		return n.journal.flush()
 	}
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"cmp"
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"maps"
 	"os"
@@ -149,7 +147,8 @@
 	base    uint64 // of its messages' numbers in the engine
 	budget  int64
 	lock    *os.File // the folder itself
-	f       *os.File
+	files   fileSystem
+	f       journalFile
 	clock   timeline
 	read    reading // of the machine's clock when it was opened; without a boot where there is none
 	reboot  bool    // the machine was started anew since the last life
@@ -191,7 +190,11 @@
 }
 
 // openJournal replays the journal in dir, as far as its records are whole. The life that it begins starts now.
-func openJournal(dir string, diskMB float64, now time.Time, clock BootClock) (_ *journal, err error) {
+func openJournal(dir string, diskMB float64, now time.Time, clock BootClock) (*journal, error) {
+	return openJournalOn(osFiles{}, dir, diskMB, now, clock)
+}
+
+func openJournalOn(files fileSystem, dir string, diskMB float64, now time.Time, clock BootClock) (_ *journal, err error) {
 	if diskMB <= 0 {
 		diskMB = defaultDiskMB
 	}
@@ -204,12 +207,12 @@
 			lock.Close()
 		}
 	}()
-	j := &journal{dir: dir, lock: lock, budget: int64(diskMB*(1<<20)) - 16<<10, live: map[uint64]*past{}, waits: map[waiter]time.Time{}, outages: map[waiter]outage{}, next: 1}
+	j := &journal{dir: dir, files: files, lock: lock, budget: int64(diskMB*(1<<20)) - 16<<10, live: map[uint64]*past{}, waits: map[waiter]time.Time{}, outages: map[waiter]outage{}, next: 1}
 	// A compaction that was cut short left its file; the old one is still whole.
-	if err = os.Remove(j.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
+	if err = files.remove(j.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
-	f, err := os.OpenFile(j.path(), os.O_RDWR|os.O_CREATE, 0o600)
+	f, err := files.open(j.path(), os.O_RDWR|os.O_CREATE)
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
@@ -222,15 +225,18 @@
 	r := bufio.NewReaderSize(f, 64<<10)
 	for {
 		payload, err := readRecord(r)
-		if err != nil {
+		if errors.Is(err, errNoRecord) {
 			break // the end, or a torn tail: what it would have guarded was not done
 		}
+		if err != nil { // what stands behind it is owed all the same
+			return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
+		}
 		j.follow(payload)
 		j.apply(payload)
 		j.written += int64(recordHead + len(payload))
 	}
-	if err = j.rewind(); err != nil {
-		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
+	if err = j.rewind(); err != nil { // a torn tail must not stand before new records: a new file will do
+		j.broken = true
 	}
 	if j.read.boot != "" {
 		j.add(clockRecord(j.read))
@@ -239,13 +245,16 @@
 }
 
 // lastReading finds the last reading of the machine's clock in a journal's file, and goes back to its beginning.
-func lastReading(f *os.File) (last reading, err error) {
+func lastReading(f io.ReadSeeker) (last reading, err error) {
 	r := bufio.NewReaderSize(f, 64<<10)
 	for {
 		payload, err := readRecord(r)
-		if err != nil {
+		if errors.Is(err, errNoRecord) {
 			break // the end, or a torn tail
 		}
+		if err != nil {
+			return last, err
+		}
 		if payload[0] != recClock {
 			continue
 		}
@@ -261,85 +270,6 @@
 
 func (j *journal) path() string { return filepath.Join(j.dir, journalName) }
 
-func readRecord(r io.Reader) ([]byte, error) {
-	var head [recordHead]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return nil, err
-	}
-	n := binary.LittleEndian.Uint32(head[:])
-	if n == 0 || n > maxRecord {
-		return nil, errors.New("a record of impossible length")
-	}
-	payload := make([]byte, n)
-	if _, err := io.ReadFull(r, payload); err != nil {
-		return nil, err
-	}
-	if crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(head[4:]) {
-		return nil, errors.New("a record with a wrong checksum")
-	}
-	return payload, nil
-}
-
-// fields reads the fields of a payload; bad is set when it is too short.
-type fields struct {
-	b     []byte
-	bad   bool
-	clock timeline
-}
-
-func (f *fields) number() uint64 {
-	v, n := binary.Uvarint(f.b)
-	if n <= 0 {
-		f.bad, f.b = true, nil
-		return 0
-	}
-	f.b = f.b[n:]
-	return v
-}
-
-func (f *fields) bytes() []byte {
-	n := f.number()
-	if n > uint64(len(f.b)) {
-		f.bad, f.b = true, nil
-		return nil
-	}
-	v := f.b[:n]
-	f.b = f.b[n:]
-	return v
-}
-
-// wall reads a time that belongs to no life, and time one that goes on the clock of this life.
-func (f *fields) wall() time.Time { return time.UnixMicro(int64(f.number())) }
-
-func (f *fields) time() time.Time {
-	stamp := f.wall()
-	if since := stamp.Sub(f.clock.zero); since > longestSpan || since < -longestSpan {
-		f.bad = true
-	}
-	return f.clock.life(stamp)
-}
-
-// message reads what all records begin with that take a message on; messageRecord writes it.
-func (f *fields) message(seq uint64) *past {
-	return &past{seq: seq, id: string(f.bytes()), key: string(f.bytes()), class: int(f.number()), dest: int(f.number()),
-		deadline: f.time(), body: f.bytes()}
-}
-
-func messageRecord(kind byte, p *past) []byte {
-	b := recordFor(kind, p.seq, smallRecord+len(p.id)+len(p.key)+len(p.body)+len(p.front))
-	b = appendBytes(appendBytes(b, []byte(p.id)), []byte(p.key))
-	b = binary.AppendUvarint(binary.AppendUvarint(b, uint64(p.class)), uint64(p.dest))
-	return appendBytes(appendTime(b, p.deadline), p.body)
-}
-
-func appendBytes(b, v []byte) []byte {
-	return append(binary.AppendUvarint(b, uint64(len(v))), v...)
-}
-
-func appendTime(b []byte, t time.Time) []byte {
-	return binary.AppendUvarint(b, uint64(t.UnixMicro()))
-}
-
 // apply brings what is live up to date with one record.
 func (j *journal) apply(payload []byte) {
 	f := &fields{b: payload[1:], clock: j.clock}
@@ -442,83 +372,6 @@
 	j.apply(payload)
 }
 
-func appendRecord(b, payload []byte) []byte {
-	b = binary.LittleEndian.AppendUint32(b, uint32(len(payload)))
-	b = binary.LittleEndian.AppendUint32(b, crc32.ChecksumIEEE(payload))
-	return append(b, payload...)
-}
-
-// smallRecord is room for all records but those that take a message on.
-const smallRecord = 48
-
-func record(kind byte, seq uint64) []byte { return recordFor(kind, seq, smallRecord) }
-
-func recordFor(kind byte, seq uint64, room int) []byte {
-	return binary.AppendUvarint(append(make([]byte, 0, room), kind), seq)
-}
-
-func acceptedRecord(p *past) []byte {
-	b := messageRecord(recAccepted, p)
-	if p.front == "" && !p.keep && p.tenant == 0 {
-		return b
-	}
-	b = appendBytes(b, []byte(p.front))
-	keep := byte(0)
-	if p.keep {
-		keep = 1
-	}
-	return appendTenant(append(b, keep), p)
-}
-
-// appendTenant adds the tenant, which builds before pass over, if there is one.
-func appendTenant(b []byte, p *past) []byte {
-	if p.tenant == 0 {
-		return b
-	}
-	return binary.AppendUvarint(b, uint64(p.tenant))
-}
-
-func againRecord(p *past) []byte {
-	b := appendTime(appendBytes(messageRecord(recAgain, p), []byte(p.front)), p.first)
-	if p.mayRun.IsZero() {
-		return appendTenant(append(b, 0), p)
-	}
-	return appendTenant(binary.AppendUvarint(appendTime(append(b, 1), p.mayRun), uint64(p.mayZone)), p)
-}
-
-// taken is what a message of this life is taken on by.
-func (j *journal) taken(p *past) []byte {
-	stamped := *p
-	stamped.deadline = j.clock.stamp(p.deadline)
-	if !p.mayRun.IsZero() {
-		stamped.mayRun = j.clock.stamp(p.mayRun)
-	}
-	return takenRecord(&stamped)
-}
-
-// takenRecord is what a message is taken on by.
-func takenRecord(p *past) []byte {
-	if p.again() {
-		return againRecord(p)
-	}
-	return acceptedRecord(p)
-}
-
-// attemptRecord names the endpoint if it is given.
-func attemptRecord(seq uint64, at time.Time, zone int, endpoint string) []byte {
-	b := binary.AppendUvarint(appendTime(record(recAttempt, seq), at), uint64(zone))
-	if endpoint != "" {
-		b = appendBytes(b, []byte(endpoint))
-	}
-	return b
-}
-
-// waitRecord names no message: there is none of number 0.
-func waitRecord(w waiter, until time.Time) []byte {
-	b := binary.AppendUvarint(recordFor(recWait, 0, smallRecord+len(w.endpoint)), uint64(w.dest))
-	return appendTime(appendBytes(b, []byte(w.endpoint)), until)
-}
-
 // wait notes a wait that was told. One that ends no later than what is noted of the same is not written.
 func (j *journal) wait(w waiter, until time.Time) {
 	stamp := j.clock.stamp(until)
@@ -553,20 +406,6 @@
 	return cmp.Or(cmp.Compare(a.dest, b.dest), cmp.Compare(a.endpoint, b.endpoint))
 }
 
-// outcomeRecord is of recNotRun, recTurnedAway or recFailed.
-func outcomeRecord(kind byte, seq uint64, attempt int) []byte {
-	return binary.AppendUvarint(record(kind, seq), uint64(attempt))
-}
-
-func endedRecord(seq uint64, e ending) []byte {
-	b := binary.AppendUvarint(record(recEnded, seq), uint64(e.state))
-	b = binary.AppendUvarint(b, uint64(e.after/time.Millisecond))
-	if e.code != 0 {
-		b = binary.AppendUvarint(b, uint64(e.code))
-	}
-	return b
-}
-
 // accept numbers a new message, queues its record and returns what is kept of it; it refuses what the disk may not have room for.
 // Twice what is live must fit, since a compaction holds the old file and the new one at once.
 func (j *journal) accept(p *past) (*past, error) {
@@ -624,13 +463,13 @@
 			j.pending, j.broken, j.retryAt = nil, true, time.Now().Add(compactPause)
 		}
 	}()
-	f, err := os.OpenFile(j.path()+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	f, err := j.files.open(j.path()+".new", os.O_RDWR|os.O_CREATE|os.O_TRUNC)
 	if err != nil {
 		return fmt.Errorf("journal: compaction: %w", err)
 	}
 	defer func() {
 		if err != nil {
-			err = errors.Join(fmt.Errorf("journal: compaction: %w", err), f.Close(), os.Remove(f.Name()))
+			err = errors.Join(fmt.Errorf("journal: compaction: %w", err), f.Close(), j.files.remove(f.Name()))
 		}
 	}()
 	w := bufio.NewWriterSize(f, 64<<10)
@@ -671,7 +510,7 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	if err := os.Rename(f.Name(), j.path()); err != nil {
+	if err := j.files.rename(f.Name(), j.path()); err != nil {
 		return err
 	}
 	old := j.f
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -118,7 +118,7 @@
 	// What the module is about to be told of, and the clients with it, rests on these records.
 	n.hold.urgent = len(fresh) > 0
 	if err := n.flush(); err != nil && len(fresh) > 0 {
-		n.log.Error("messages turned away", "err", err)
+		n.log.Info("messages turned away", "messages", len(fresh), "err", err)
 		events = slices.DeleteFunc(events, func(e choice.Event) bool {
 			switch e.(type) {
 			case choice.Arrived, choice.Resumed:
@@ -218,7 +218,7 @@
 	}
 	n.hold.urgent = len(n.acts) > 0
 	if err := n.flush(); err != nil {
-		n.log.Error("waiting for the journal", "acts", len(n.acts), "err", err)
+		n.log.Info("waiting for the journal", "acts", len(n.acts), "err", err)
 		return
 	}
 	n.guard(n.acts, n.byes)
--- a/delivery/signals.go
+++ b/delivery/signals.go
@@ -53,6 +53,18 @@
 	}
 }
 
+// noteJournal logs since when and why the journal can't be written, and when it can again.
+func (n *Engine) noteJournal(err error) {
+	switch {
+	case err != nil && n.journalDown.IsZero():
+		n.journalDown = time.Now()
+		n.log.Error("the journal can't be written: new messages are refused", "err", err)
+	case err == nil && !n.journalDown.IsZero():
+		n.log.Warn("the journal is written again", "down_since", n.journalDown.Round(0), "for", time.Since(n.journalDown).Round(time.Millisecond))
+		n.journalDown = time.Time{}
+	}
+}
+
 // logEnd logs a message that was taken on and ends undelivered.
 func (n *Engine) logEnd(p *past, e ending) {
 	if e.state == Delivered {
--- a/delivery/stream.go
+++ b/delivery/stream.go
@@ -92,7 +92,7 @@
 }
 
 // tellAll notes what a new file holds, and writes behind it how far the chain has come with it.
-func (j *journal) tellAll(w *bufio.Writer, f *os.File, size *int64) error {
+func (j *journal) tellAll(w *bufio.Writer, f io.ReaderAt, size *int64) error {
 	if !j.copied {
 		return nil
 	}
@@ -136,9 +136,12 @@
 	j := &journal{}
 	for r := bufio.NewReaderSize(f, 64<<10); ; {
 		payload, err := readRecord(r)
-		if err != nil {
+		if errors.Is(err, errNoRecord) {
 			return j.chain, nil
 		}
+		if err != nil {
+			return Chain{}, fmt.Errorf("journal: %w", err)
+		}
 		j.follow(payload)
 	}
 }
