The gRPC carrier tells a silent connection by the monotonic clock

Cause: the time at which an answer last came was a wall time: after a step back by an hour a connection that had gone silent was kept for an hour. Change: it counts from the channel's beginning. Result: tests of grpcdelivery pass; no test steps the clock there, since the test's clock can't be stepped.

--- a/grpcdelivery/carrier.go
+++ b/grpcdelivery/carrier.go
@@ -61,7 +61,8 @@
 	calls   int
 	retired bool
 	last    atomic.Pointer[string] // the local address that the last call went out from
-	heard   atomic.Int64           // when an answer last came, in nanoseconds of Unix time
+	heard   atomic.Int64           // when an answer last came, in nanoseconds since opened; 0 if none has
+	opened  time.Time
 }
 
 // NewCarrier makes the carrier of the front of that name. The dial options are those of all its channels: transport
@@ -180,8 +181,8 @@
 	err = ch.cc.Invoke(call, method, grpcframe.Frame(body), &reply, options...)
 	c.repeats.Add(t.repeats.Load())
 	if t.headers.Load() || t.trailers.Load() {
-		ch.heard.Store(time.Now().UnixNano())
-	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) && ch.heard.Load() < began.UnixNano() {
+		ch.heard.Store(int64(time.Since(ch.opened)))
+	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) && ch.heard.Load() < int64(began.Sub(ch.opened)) {
 		c.retire(a.Endpoint.ID, ch) // its machine may be gone: a connection does not show that by itself
 	}
 	ans.body = reply
@@ -297,7 +298,7 @@
 		if err != nil {
 			return nil, err
 		}
-		ch = &channel{cc: cc, addr: addr}
+		ch = &channel{cc: cc, addr: addr, opened: time.Now()}
 		if e.Gone() { // nobody would ever close it
 			ch.retired = true
 		} else {
