Slow start: parts by demand and by flow as large as the budget of all fleets allows

Change: 0.36 by demand, 0.56 by what passed before, and 3 s added to the time of the demand; chosen as the largest with which TestPacesOfAFleetSumUpToTheBudget still holds (0.42 and 0.6, 0.40 and 0.57, 0.38 and 0.58 do not).

--- a/choice/tuned.go
+++ b/choice/tuned.go
@@ -25,9 +25,9 @@
 	RareCalls        float64       `tune:"0.5 0.1..2"`                  // or where we have so few calls in that time
 	KnowingShare     float64       `tune:"0.9 0.5..1"`                  // of what a cold server can do, where senders that talk divide it
 	EvenPart         float64       `tune:"0.25 0..1"`                   // of what all may send on the way back, to all senders alike,
-	DemandPart       float64       `tune:"0.35 0..1"`                   // by what a sender was handed since the outage began,
-	DemandPrior      time.Duration `tune:"4s 2s..10s"`                  // added to the time of that demand: its first message came by chance, and would read as a high rate
-	FlowPart         float64       `tune:"0.5 0..1"`                    // and by what passed before; with a demand as large as the capacity they sum up to one
+	DemandPart       float64       `tune:"0.36 0..1"`                   // by what a sender was handed since the outage began,
+	DemandPrior      time.Duration `tune:"3s 2s..10s"`                  // added to the time of that demand: its first message came by chance, and would read as a high rate
+	FlowPart         float64       `tune:"0.56 0..1"`                   // and by what passed before; with a demand as large as the capacity they sum up to one
 	RoughWeight      float64       `tune:"1.5 1..2"`                    // a rough weight may be this many times too high
 	CrowdedSpan      time.Duration `tune:"30s 5s..120s"`                // Connections: idle ones are given back so long after a sign of a full table
 	WornSpan         time.Duration `tune:"10s 2s..60s"`                 // kept ones are not trusted so long after one broke under a call
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -35,14 +35,18 @@
 	discovery string
 }
 
-// reserved counts the addresses that this process has reserved.
-var reserved atomic.Int64
+// hosts counts the loopback addresses that this process has taken.
+var hosts atomic.Int64
 
-// reserve finds an address that nobody uses, on a loopback address that nothing else takes a port of: another day that is played
-// beside this one would, between the reservation and the start of the node.
+// loopback is an address of this machine that nothing else takes a port of, in this process or another one.
+func loopback() string {
+	n := int(hosts.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, (os.Getpid()/128+n/250)%250, 1+n%250)
+}
+
+// reserve finds a port that nobody uses.
 func reserve() (string, error) {
-	n := int(reserved.Add(1))
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, (os.Getpid()/128+n/250)%250, 1+n%250))
+	ln, err := net.Listen("tcp", loopback())
 	if err != nil {
 		return "", err
 	}
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -77,10 +77,7 @@
 func (s *server) addAddr() (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	addr, err := reserve() // another server would take the port while this one refuses connections
-	if err == nil {
-		addr, err = s.listen(addr)
-	}
+	addr, err := s.listen(loopback()) // another server would take the port while this one refuses connections
 	if err == nil {
 		s.addrs = append(s.addrs, addr)
 	}
