Soak: faults of every kind, and wall clocks stepped in lives and between them

Change: mixedDay draws 5 to 12 nodes with restarts (SIGTERM with the kill at the earliest time, SIGKILL), stops up to 0.15 s, five kinds of outage, replaced endpoints, a move by SIGHUP, idle and half-way clients, and a discovery that is down; the skewed program takes a step in its life, and each life has an offset of its own.

--- a/internal/faults/clocks.go
+++ b/internal/faults/clocks.go
@@ -9,10 +9,11 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"time"
 )
 
-// clockVariable tells a process of a Skewed program how its clocks go: seconds that its wall clock is ahead, and its rates' parts in a
-// thousand above true time.
+// clockVariable tells a process of a Skewed program how its clocks go: seconds that its wall clock is ahead, its rates' parts in a
+// thousand above true time, and after how many milliseconds its wall clock is stepped by how many seconds.
 const clockVariable = "CORALYARD_RIG_CLOCK"
 
 // skew goes into package time of a Skewed program.
@@ -20,27 +21,34 @@
 
 import "syscall"
 
-var skewWall, skewRate = skewed()
+var skew = skewed()
 
-func skewed() (wall, rate int64) {
+func skewed() (numbers [4]int64) {
 	text, _ := syscall.Getenv("` + clockVariable + `")
-	at, sign := &wall, int64(1)
+	i, sign := 0, int64(1)
 	for _, c := range []byte(text) {
 		switch {
 		case c == ' ':
-			*at *= sign
-			at, sign = &rate, 1
+			numbers[i] *= sign
+			i, sign = i+1, 1
 		case c == '-':
 			sign = -1
 		case c >= '0' && c <= '9':
-			*at = *at*10 + int64(c-'0')
+			numbers[i] = numbers[i]*10 + int64(c-'0')
 		}
 	}
-	*at *= sign
-	return wall, rate
+	numbers[i] *= sign
+	return numbers
 }
 
-func skewMono(mono int64) int64 { return mono + (mono-startNano)/1000*skewRate }
+func skewWall(mono int64) int64 {
+	if skew[3] != 0 && mono-startNano >= skew[2]*1000000 {
+		return skew[0] + skew[3]
+	}
+	return skew[0]
+}
+
+func skewMono(mono int64) int64 { return mono + (mono-startNano)/1000*skew[1] }
 `
 
 // Skewed builds the program with clocks that can be set off, without any privilege: by an overlay of the standard library's package time. What
@@ -53,7 +61,7 @@
 	}
 	text := string(source)
 	for _, change := range [][2]string{
-		{"sec, nsec, mono := runtimeNow()\n\tif mono == 0 {", "sec, nsec, mono := runtimeNow()\n\tsec, mono = sec+skewWall, skewMono(mono)\n\tif mono == 0 {"},
+		{"sec, nsec, mono := runtimeNow()\n\tif mono == 0 {", "sec, nsec, mono := runtimeNow()\n\tsec, mono = sec+skewWall(mono), skewMono(mono)\n\tif mono == 0 {"},
 		{"subMono(runtimeNano()-startNano, t.ext)", "subMono(skewMono(runtimeNano())-startNano, t.ext)"},
 		{"subMono(t.ext, runtimeNano()-startNano)", "subMono(t.ext, skewMono(runtimeNano())-startNano)"},
 	} {
@@ -92,5 +100,10 @@
 	return fmt.Sprintf("%s=%d %d", clockVariable, wall, rate)
 }
 
+// SteppedClock is the environment of a process of a Skewed program whose wall clock is ahead from the start, and is stepped once.
+func SteppedClock(ahead, after, step time.Duration) string {
+	return fmt.Sprintf("%s=%d 0 %d %d", clockVariable, int64(ahead.Seconds()), after.Milliseconds(), int64(step.Seconds()))
+}
+
 // drift is the settings', in parts of a thousand.
 const drift = 20
--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -95,6 +95,7 @@
 	Classes []Class
 	Servers []Server
 	Faults  []Fault
+	Clocks  bool // wall clocks are off in each life, and are stepped; the program is a skewed one
 
 	ColdFrom float64       // share of its limit that a server has when it comes back
 	WarmIn   time.Duration // until it has all of it
@@ -189,3 +190,45 @@
 	}
 	return d
 }
+
+// mixedDay is a day of a small fleet with faults of every kind.
+func mixedDay(seed uint64) *Day {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	nodes := 5 + rng.IntN(8)
+	d := Draw(seed, nodes, 2*nodes, 6*float64(nodes), 24*time.Second)
+	deadline := time.Duration(3+5*rng.Float64()) * time.Second
+	for i := range d.Classes {
+		d.Classes[i].Deadline = deadline
+	}
+	seconds := func(low, high float64) time.Duration {
+		return time.Duration((low + (high-low)*rng.Float64()) * float64(time.Second))
+	}
+	// A server is out once at most, and is replaced only if it is never out.
+	servers, restarted := rng.Perm(len(d.Servers)), rng.Perm(nodes)
+	for _, s := range servers[:len(servers)/3] {
+		d.Faults = append(d.Faults, Fault{Kind: Kind(rng.IntN(int(Vanish) + 1)), At: seconds(2, 10), For: seconds(5, 9), Target: s})
+	}
+	for _, s := range servers[len(servers)/3:][:2] {
+		d.Faults = append(d.Faults, Fault{Kind: Replace, At: seconds(2, 14), For: seconds(2, 6), Target: s})
+	}
+	for i, n := range restarted[:1+nodes/2] {
+		kind := Terminate
+		if i%2 == 1 {
+			kind = Kill
+		}
+		d.Faults = append(d.Faults, Fault{Kind: kind, At: seconds(3, 16), For: startAfter, Target: n})
+	}
+	for range 2 * nodes {
+		d.Faults = append(d.Faults, Fault{Kind: Stop, At: seconds(1, 23), For: seconds(0.02, 0.15), Target: rng.IntN(nodes)})
+	}
+	others := restarted[1+nodes/2:]
+	for i, kind := range []Kind{Move, Crowd, Halves} {
+		if i < len(others) {
+			d.Faults = append(d.Faults, Fault{Kind: kind, At: seconds(2, 16), For: seconds(2, 6), Target: others[i]})
+		}
+	}
+	if rng.IntN(2) == 0 {
+		d.Faults = append(d.Faults, Fault{Kind: Silence, At: seconds(2, 12), For: seconds(1, 8)})
+	}
+	return d
+}
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -18,6 +19,7 @@
 	"syscall"
 	"time"
 
+	"starlingusher/internal/faults"
 	"starlingusher/internal/standin"
 )
 
@@ -33,6 +35,7 @@
 	done      chan struct{} // closed when the process has ended
 	wanted    bool          // it is to run
 	discovery string
+	lives     int
 }
 
 // hosts counts the loopback addresses that this process has taken.
@@ -101,6 +104,9 @@
 	cmd := exec.Command(n.play.options.Program)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+filepath.Join(n.folder, "config.json"), "ROUTER_STATE="+filepath.Join(n.folder, "state"),
 		"ROUTER_NAME="+fmt.Sprintf("n%d", n.number), "ROUTER_DISCOVERY="+n.discovery)
+	if n.play.day.Clocks {
+		cmd.Env = append(cmd.Env, n.clock())
+	}
 	words, err := cmd.StderrPipe()
 	if err != nil {
 		return err
@@ -157,6 +163,15 @@
 	}
 }
 
+// clock draws how far off the wall clock of the next life is, and a step in it.
+func (n *node) clock() string {
+	n.lives++
+	rng := rand.New(rand.NewPCG(n.play.day.Seed, uint64(5000+100*n.number+n.lives)))
+	steps := []time.Duration{-time.Hour, -5 * time.Second, 0, 5 * time.Second, time.Hour}
+	after := time.Duration(rng.Int64N(int64(n.play.day.Length)))
+	return faults.SteppedClock(steps[rng.IntN(len(steps))], after, steps[rng.IntN(len(steps))])
+}
+
 // read takes from the process's log what it was told of servers, and its end in a panic.
 func (n *node) read(words io.Reader) {
 	lines := bufio.NewScanner(words)
--- a/internal/faults/soak/soak_test.go
+++ b/internal/faults/soak/soak_test.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"starlingusher/internal/faults"
 )
 
 var (
@@ -16,6 +18,7 @@
 	first   = flag.Uint64("soak.first", 1, "the first of them")
 	keep    = flag.String("soak.keep", "", "a folder for the nodes' files and logs")
 	program string
+	skewed  string // the program with clocks that can be stepped
 )
 
 func TestMain(m *testing.M) {
@@ -32,6 +35,15 @@
 			fmt.Fprintf(os.Stderr, "%s: %v\n", out, err)
 			return 1
 		}
+		clocks := filepath.Join(folder, "clocks")
+		if err := os.Mkdir(clocks, 0o700); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		if skewed, err = faults.Skewed(context.Background(), clocks); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
 		return m.Run()
 	}())
 }
@@ -62,7 +74,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 	defer cancel()
-	report, err := Run(ctx, day, Options{Program: program, Folder: folder})
+	o := Options{Program: program, Folder: folder}
+	if day.Clocks {
+		o.Program = skewed
+	}
+	report, err := Run(ctx, day, o)
 	if err != nil {
 		t.Fatalf("the rig: %v", err)
 	}
@@ -82,3 +98,17 @@
 func TestReturningServersAreNotSentMoreThanTheirBudget(t *testing.T) {
 	playSeeds(t, []uint64{18, 20, 25}, outageDay)
 }
+
+// TestFaultsOfEveryKindLoseNothing guards the rules of the platform under restarts, outages, stops, crowds and a discovery that is down.
+func TestFaultsOfEveryKindLoseNothing(t *testing.T) {
+	playSeeds(t, []uint64{1, 2}, mixedDay)
+}
+
+// TestSteppedClocksLoseNothing guards the same rules while wall clocks are stepped in lives and between them.
+func TestSteppedClocksLoseNothing(t *testing.T) {
+	playSeeds(t, []uint64{3}, func(seed uint64) *Day {
+		day := mixedDay(seed)
+		day.Clocks = true
+		return day
+	})
+}
