Lab over sockets: clients open a connection anew that the node closed while it rested

Cause: lab/load.RESP never opened a connection again. A node closes one that rests for 2 s; with 33 nodes a connection waits 1.1 s in the mean for its turn, with 8 nodes 0.27 s, so that sooner or later all had ended and every message failed at once. Change: a message whose connection has ended goes out on a new one.

--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -234,3 +234,38 @@
 		}
 	})
 }
+
+// TestRESPOpensAnewWhatTheNodeClosed guards against counting messages as failed because a node closed a connection that rested.
+func TestRESPOpensAnewWhatTheNodeClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() { // a node that answers one request a connection, and closes it
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			nc.Read(make([]byte, 4096))
+			nc.Write([]byte("+OK\r\n"))
+			nc.Close()
+		}
+	}()
+	r, err := Dial(ln.Addr().String(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.Close()
+	for i := range 3 {
+		answers := make(chan Answer, 1)
+		r.Hand(Message{ID: "m", Class: "c", Life: time.Second}, func(a Answer) { answers <- a })
+		if a := <-answers; !a.Taken {
+			t.Fatalf("message %d: %+v", i, a)
+		}
+		for !r.conns[0].ended() { // its end has been read
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
--- a/lab/load/resp.go
+++ b/lab/load/resp.go
@@ -15,8 +15,10 @@
 // RESP is a node that takes messages over RESP2, by some connections on which requests are written without waiting for the
 // answers before them.
 type RESP struct {
-	conns []*respConn
-	next  int
+	addr   string
+	conns  []*respConn
+	next   int
+	closed bool
 }
 
 // errClosed says that a connection ended before the answer.
@@ -35,25 +37,47 @@
 
 // Dial connects to a node.
 func Dial(addr string, conns int) (*RESP, error) {
-	r := &RESP{}
+	r := &RESP{addr: addr}
 	for range max(conns, 1) {
-		nc, err := net.Dial("tcp", addr)
+		c, err := dialResp(addr)
 		if err != nil {
 			return nil, errors.Join(err, r.Close())
 		}
-		c := &respConn{nc: nc}
-		c.more = sync.NewCond(&c.mu)
-		c.done.Go(c.write)
-		c.done.Go(c.read)
 		r.conns = append(r.conns, c)
 	}
 	return r, nil
 }
 
-// Hand writes an ENQUEUE.
+func dialResp(addr string) (*respConn, error) {
+	nc, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &respConn{nc: nc}
+	c.more = sync.NewCond(&c.mu)
+	c.done.Go(c.write)
+	c.done.Go(c.read)
+	return c, nil
+}
+
+// ended tells that a connection carries nothing more.
+func (c *respConn) ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gone != nil
+}
+
+// Hand writes an ENQUEUE, on a new connection where the node has ended the one whose turn it is: a node may close those that rest.
+// It is called by one goroutine at a time.
 func (r *RESP) Hand(m Message, done func(Answer)) {
-	c := r.conns[r.next%len(r.conns)]
+	turn := r.next % len(r.conns)
 	r.next++
+	if r.conns[turn].ended() && !r.closed {
+		if c, err := dialResp(r.addr); err == nil {
+			r.conns[turn] = c
+		}
+	}
+	c := r.conns[turn]
 	c.mu.Lock()
 	if c.gone != nil {
 		err := c.gone
@@ -215,6 +239,7 @@
 
 // Close ends the connections; what has no answer is done with an error.
 func (r *RESP) Close() error {
+	r.closed = true
 	for _, c := range r.conns {
 		c.end(errClosed)
 		c.done.Wait()
