Slow start after refusals and single failures costs a large fleet less

Change: a server may be shut where a second refusal follows the first by 2 s with no pass between, and its limit was not told to be lowered within 10 s; the call that may follow a failure at once is kept for a message that comes later, and goes where one has waited for longer than 500 ms; a pass counts from when its call was sent. The tests of slow start hold.

--- a/choice/health.go
+++ b/choice/health.go
@@ -120,7 +120,7 @@
 		if r.fails > 0 && r.harmless && !r.sick && !s.cfg.FullTold {
 			s.crowded[ep.dest.kind] = s.now + s.t.CrowdedSpan // no connection, then a pass: a full table
 		}
-		s.passed(r, 1+s.t.ItemWeight*float64(len(c.sends)-1))
+		s.passed(r, 1+s.t.ItemWeight*float64(len(c.sends)-1), c.sentAt)
 	case e.Outcome == Stale:
 	case e.Outcome == NoRoom && e.HungUp && !e.Kept && e.Wait == 0 && !r.sick:
 		s.crowd(ep)
@@ -170,7 +170,7 @@
 	if e.Health == Recovering {
 		r.coldFrom = since
 	} else {
-		r.suspectAt, r.doubted = max(min(since, s.now-s.t.SuspectSpan-1), 1), true
+		r.suspectAt, r.doubted, r.tried = max(min(since, s.now-s.t.SuspectSpan-1), 1), true, true
 	}
 	s.noteHealth(r, Healthy, "known before the restart")
 }
@@ -187,34 +187,38 @@
 		return
 	}
 	before := r.health()
-	r.suspectAt = s.now
+	r.suspectAt, r.tried = s.now, false
 	s.noteHealth(r, before, "a call failed")
-	if s.doubt(r); r.doubted { // a single call may follow at once, to tell an error from an outage
-		r.retry, r.tokens = true, 1
-	}
+	s.doubt(r)
 }
 
-// refused notes a refusal that no pass has answered yet. A wait that was told is no silence.
+// refused notes a refusal that no pass has answered yet. Where another one follows after a while the server may be shut, rather than at
+// its limit. A wait that was told is no silence, and a limit that was told to be much lower explains the refusals that follow.
 func (s *Sender) refused(r *route, wait time.Duration) {
-	if r.refusedAt == 0 {
+	switch {
+	case r.loweredAt > 0 && s.now-r.loweredAt < s.t.LoweredSpan:
+	case r.refusedAt == 0:
 		r.refusedAt = s.now + wait
+	case s.now-r.refusedAt >= s.t.RefusedSpan:
+		r.shut = true
 	}
 }
 
-// doubt has slow start pace a route at which a call failed, or one was refused and none passed for long: it may be shut rather than
-// at its limit. So soon after a pass no outage can be over. It is not struck: a crowded limit refuses as much. Where there is
-// no limit, the window tells of refusals.
+// doubt has slow start pace a route at which a call failed, or which may be shut. So soon after a pass no outage can be over. It is not
+// struck: a crowded limit refuses as much. Where there is no limit, the window tells of refusals.
 func (s *Sender) doubt(r *route) {
-	refused := r.refusedAt > 0 && !r.unlimited() && s.now-r.refusedAt >= s.t.RefusedSpan
+	refused := r.shut && !r.unlimited()
 	if r.recovering() || (r.suspectAt == 0 && !refused) || r.gap.PassedSince(s.now-outage.Shortest) {
 		return
 	}
 	before := r.health()
+	r.doubted = true
+	s.enterSlowStart(r)
 	if r.suspectAt == 0 {
 		r.suspectAt = r.refusedAt
+	} else if !r.tried { // a single call may follow a failure at once, to tell an error from an outage
+		r.retry, r.tokens = true, 1
 	}
-	r.doubted = true
-	s.enterSlowStart(r)
 	s.noteHealth(r, before, "nothing but refusals")
 }
 
@@ -286,16 +290,17 @@
 func (s *Sender) enterSlowStart(r *route) {
 	r.struckAt, r.demand = s.now, 1
 	r.gap.Struck()
-	r.tokens, r.tokensAt = s.rng.Float64(), s.now
+	r.allowance = s.rng.Float64()
+	r.tokens, r.tokensAt = r.allowance, s.now
 }
 
 // passed notes a delivered call: the end of an outage, a step of the recovery, or plain health.
-func (s *Sender) passed(r *route, work float64) {
+func (s *Sender) passed(r *route, work float64, sentAt time.Duration) {
 	s.doubt(r)
 	if !r.sick && r.fails == 0 {
 		s.failing.Passed()
 	}
-	r.rest, r.fails, r.refusedAt = 0, 0, 0
+	r.rest, r.fails, r.refusedAt, r.shut = 0, 0, 0, false
 	if gap := seconds(s.now - r.passedAt); gap > 1 {
 		r.busiest = max(r.busiest, r.passed/gap)
 		r.passed, r.passedAt = 0, s.now
@@ -310,7 +315,7 @@
 		r.sick = false
 	case r.sick:
 		r.sick, r.coldFrom = false, r.known.Since(s.now, r.struckAt)
-	case r.doubted && s.now-r.suspectAt > s.t.SuspectSpan:
+	case r.doubted && sentAt-r.suspectAt > s.t.SuspectSpan:
 		r.suspectAt, r.doubted, r.coldFrom = 0, false, s.now
 	case r.suspectAt > 0:
 		r.suspectAt, r.doubted = 0, false
--- a/choice/limit.go
+++ b/choice/limit.go
@@ -89,10 +89,6 @@
 		r.tokens, r.tokensAt = 1, s.now
 		return
 	}
-	if r.retry && r.doubted && s.now-r.suspectAt > s.t.SuspectSpan {
-		r.retry = false
-		r.tokens = min(r.tokens, s.rng.Float64())
-	}
 	most := max(1, s.t.BurstSpan*rate)
 	if r.recovering() {
 		most = 1
--- a/choice/release.go
+++ b/choice/release.go
@@ -135,6 +135,7 @@
 	open := false
 	for _, e := range d.endpoints {
 		s.refill(e.route)
+		s.expireRetry(d, e.route)
 		open = open || s.routeOpen(e)
 	}
 	if !open {
@@ -293,7 +294,7 @@
 		s.do(send)
 	}
 	r.tokens--
-	r.retry = false
+	r.tried, r.retry = true, false
 	if r.recovering() { // the others weigh little at a warm one
 		r.tokens -= s.t.ItemWeight * float64(len(group)-1)
 	}
--- a/choice/slowstart.go
+++ b/choice/slowstart.go
@@ -64,6 +64,15 @@
 	return n + 2*math.Sqrt(n) + 2
 }
 
+// expireRetry takes back the call that may follow a failure at once, where a message has waited for longer than that: its slots or its
+// rest were not free, and others that waited as well would go out with it.
+func (s *Sender) expireRetry(d *destination, r *route) {
+	if r.retry && s.now-max(d.waiting[0].arrived, r.suspectAt) > s.t.SuspectSpan {
+		r.retry = false
+		r.tokens = min(r.tokens, r.allowance)
+	}
+}
+
 // safeCalls is how many calls all senders together may send in the mean, of which a cold server can do n, so that a count that is
 // higher by three deviations is still within its budget. The count of each of the senders is off by one at most, since nothing is
 // saved up: their variances sum up to a quarter a sender, or to the mean where each sends seldom.
--- a/choice/state.go
+++ b/choice/state.go
@@ -124,8 +124,11 @@
 	rest      time.Duration // after the last of the refusals in a row
 	suspectAt time.Duration // the first failure that no pass has answered; 0 for none
 	doubted   bool          // it may have been out for long enough to come back cold: slow start paces it
+	tried     bool          // a call has gone out since that failure
 	retry     bool          // the call that may follow a failure at once is not yet spent
+	allowance float64       // with which slow start began
 	refusedAt time.Duration // the first refusal that no pass has answered; 0 for none
+	shut      bool          // another one followed after a while
 	sick      bool
 	harmless  bool // the last failure proved that nothing ran
 	trialAt   time.Duration
--- a/choice/tuned.go
+++ b/choice/tuned.go
@@ -21,7 +21,8 @@
 	SickCount        float64       `tune:"3 2..6"`                      // failures in a row that make an outage where they are rare,
 	SickSpan         time.Duration `tune:"2s 500ms..5s"`                // one less if none passed for so long,
 	SuspectSpan      time.Duration `tune:"500ms 100ms..1s"`             // a pass so soon after a first failure leaves no room for an outage
-	RefusedSpan      time.Duration `tune:"1s 500ms..5s"`                // refusals alone for so long may be a shut server's
+	RefusedSpan      time.Duration `tune:"2s 500ms..5s"`                // another refusal so long after the first, with no pass between, may be a shut server's
+	LoweredSpan      time.Duration `tune:"10s 2s..30s"`                 // refusals so soon after a limit was lowered are explained by it
 	RareCalls        float64       `tune:"0.5 0.1..2"`                  // or where we have so few calls in that time
 	KnowingShare     float64       `tune:"0.9 0.5..1"`                  // of what a cold server can do, where senders that talk divide it
 	EvenPart         float64       `tune:"0.25 0..1"`                   // of what all may send on the way back, to all senders alike,
--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -114,6 +114,7 @@
 	startAfter     = 600 * time.Millisecond  // after SIGKILL
 	answerPatience = 400 * time.Millisecond  // of clients
 	answerLongest  = 3 * time.Second         // after which a request counts as never answered
+	longestWait    = time.Second             // beyond the time to room, that a server at its limit tells
 	waitSlack      = 100 * time.Millisecond  // in which calls after a told wait are let through
 )
 
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -276,7 +276,7 @@
 	s.tokens = min(s.tokens+s.Limit*(now-s.at).Seconds(), s.burst())
 	s.at = now
 	if s.tokens < 1 {
-		wait := time.Duration((1 - s.tokens) / s.Limit * float64(time.Second))
+		wait := time.Duration((1-s.tokens)/s.Limit*float64(time.Second)) + time.Duration(s.rng.Int64N(int64(longestWait)))
 		s.mu.Unlock()
 		s.play.history.waits(now, node, s.number, wait)
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 429 Limit\r\n%sRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", s.report(), wait.Seconds())
