A call that the node gives up because its server hangs counts for slow start as well

Cause: a call that is called off for a free slot, after it had been out for far longer than usual, was no failure to the decisions. Nodes whose calls to a hung server had all been called off went on at full speed when it came back. Change: such a call makes its route suspect, as one that failed does. Result: TestOneFailureIsEnoughForSlowStart with a call that is called off had more than one call before.

--- a/choice/health.go
+++ b/choice/health.go
@@ -102,7 +102,7 @@
 	if c.trial {
 		r.trial = false
 	}
-	if failed(e) && (!lone || e.Kept || !r.gap.PassedSince(s.now-s.t.SuspectSpan)) {
+	if (failed(e) || s.calledOffLate(c, e)) && (!lone || e.Kept || !r.gap.PassedSince(s.now-s.t.SuspectSpan)) {
 		s.suspect(r)
 	}
 	if e.Outcome == NoRoom && !c.judged {
@@ -180,6 +180,11 @@
 	return e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == NoRoute || e.Outcome == Cut
 }
 
+// calledOffLate tells that a call was called off which had been out for far longer than usual: its server may hang.
+func (s *Sender) calledOffLate(c *call, e Ended) bool {
+	return e.Outcome == Undone && seconds(s.now-c.sentAt) > s.patience(c)
+}
+
 // suspect notes a call that failed and that no pass has answered yet: one failure is no outage, but a server that returns counts
 // on everybody who met one.
 func (s *Sender) suspect(r *route) {
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -162,7 +162,16 @@
 	}
 	to := &syscall.SockaddrInet4{Port: number}
 	copy(to.Addr[:], net.ParseIP(host).To4())
-	if err := errors.Join(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1), syscall.Bind(fd, to), syscall.Listen(fd, 0)); err != nil {
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		return err
+	}
+	for range 100 { // the listener goes once its accept has returned
+		if err = errors.Join(syscall.Bind(fd, to), syscall.Listen(fd, 0)); err == nil {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if err != nil {
 		return err
 	}
 	for range 2 {
