--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,9 +1,10 @@
 // Package choice decides for a delivery node: refuse or admit a message, when to send it, to which endpoint,
 // whether to try again, when to give up. Its interface (Settings, Events, Actions) is in types.go and its
-// bare state in state.go. The decisions are in files of their own: admission in gate.go, what a failure says of a
-// route in health.go, the way back from an outage in slowstart.go, limits in limit.go, slots in slots.go, what goes
-// out next in release.go, and the life of a message here; tuned values are in tuned.go. A Sender is a deterministic
-// state machine: time comes with Step, randomness from the seed, and it shares nothing with other senders.
+// bare state in state.go. The decisions are in files of their own: admission in gate.go, what a failure says
+// of a route in health.go, the way back from an outage in slowstart.go, limits in limit.go, slots in
+// slots.go, what goes out next in release.go, and the life of a message here; tuned values are in tuned.go.
+// A Sender is a deterministic state machine: time comes with Step, randomness from the seed, and it shares
+// nothing with other senders.
 package choice
 
 import (
--- a/choice/health.go
+++ b/choice/health.go
@@ -33,11 +33,11 @@
 	Dest     int
 	Endpoint string // empty unless the endpoint is a route apart
 	From, To Health
-	Since    time.Duration // To Recovering: when a call first passed; otherwise the first failure; 0 for Healthy
+	Since    time.Duration // the first failure, or where To is Recovering the first pass; 0 for Healthy
 	Reason   string
 	Failures int           // in a row, at the time of the change
 	Failing  time.Duration // since the first of them
-	Rate     float64       // calls a second that the route's slow start allows this sender now; 0 where none binds
+	Rate     float64       // calls a second that slow start allows this sender now; 0 where none binds
 }
 
 // HealthChanges returns the changes that the last Step made, in order. It decides nothing.
@@ -62,7 +62,9 @@
 	if before == after {
 		return
 	}
-	change := HealthChange{Dest: r.dest, Endpoint: r.endpoint, From: before, To: after, Reason: reason, Failures: r.fails}
+	change := HealthChange{
+		Dest: r.dest, Endpoint: r.endpoint, From: before, To: after, Reason: reason, Failures: r.fails,
+	}
 	switch after {
 	case Suspect, Out:
 		change.Since = r.struckAt
@@ -102,7 +104,8 @@
 	if c.trial {
 		r.trial = false
 	}
-	if (failed(e) || s.calledOffLate(c, e)) && (!lone || e.Kept || !r.gap.PassedSince(s.now-s.t.SuspectSpan)) {
+	alone := lone && !e.Kept && r.gap.PassedSince(s.now-s.t.SuspectSpan)
+	if !alone && (failed(e) || s.calledOffLate(c, e)) {
 		s.suspect(r)
 	}
 	if e.Outcome == NoRoom && !c.judged {
@@ -154,8 +157,8 @@
 	}
 }
 
-// outBefore takes over what an earlier life knew of a route. Whether it has come back meanwhile, and when, is not known: the way
-// back begins with the first call that passes.
+// outBefore takes over what an earlier life knew of a route. Whether it has come back meanwhile, and when,
+// is not known: the way back begins with the first call that passes.
 func (s *Sender) outBefore(e Outage) {
 	r := s.route(e.Dest, e.Endpoint)
 	if r == nil || r.recovering() || e.Health == Healthy {
@@ -180,13 +183,14 @@
 	return e.Outcome == Fault || e.Outcome == TooSlow || e.Outcome == NoRoute || e.Outcome == Cut
 }
 
-// calledOffLate tells that a call was called off which had been out for far longer than usual: its server may hang.
+// calledOffLate tells that a call was called off which had been out for far longer than usual: its server
+// may hang.
 func (s *Sender) calledOffLate(c *call, e Ended) bool {
 	return e.Outcome == Undone && seconds(s.now-c.sentAt) > s.patience(c)
 }
 
-// suspect notes a call that failed and that no pass has answered yet: one failure is no outage, but a server that returns counts
-// on everybody who met one.
+// suspect notes a call that failed and that no pass has answered yet: one failure is no outage, but a server
+// that returns counts on everybody who met one.
 func (s *Sender) suspect(r *route) {
 	if r.sick || r.coldFrom > 0 || r.suspectAt > 0 {
 		return
@@ -197,8 +201,9 @@
 	s.doubt(r)
 }
 
-// refused notes a refusal that no pass has answered yet. Where another one follows after a while the server may be shut, rather than at
-// its limit. A wait that was told is no silence, and a limit that was told to be much lower explains the refusals that follow.
+// refused notes a refusal that no pass has answered yet. Where another one follows after a while the server
+// may be shut, rather than at its limit. A wait that was told is no silence, and a limit that was told to be
+// much lower explains the refusals that follow.
 func (s *Sender) refused(r *route, wait time.Duration) {
 	switch {
 	case r.loweredAt > 0 && s.now-r.loweredAt < s.t.LoweredSpan:
@@ -209,8 +214,9 @@
 	}
 }
 
-// doubt has slow start pace a route at which a call failed, or which may be shut. So soon after a pass no outage can be over. It is not
-// struck: a crowded limit refuses as much. Where there is no limit, the window tells of refusals.
+// doubt has slow start pace a route at which a call failed, or which may be shut. So soon after a pass no
+// outage can be over. It is not struck: a crowded limit refuses as much. Where there is no limit, the window
+// tells of refusals.
 func (s *Sender) doubt(r *route) {
 	refused := r.shut && !r.unlimited()
 	if r.recovering() || (r.suspectAt == 0 && !refused) || r.gap.PassedSince(s.now-outage.Shortest) {
--- a/choice/slowstart.go
+++ b/choice/slowstart.go
@@ -36,17 +36,19 @@
 func (s *Sender) paceAt(r *route, share float64) (rate float64, bound bool) {
 	if r.recovering() && s.cfg.Fall > 0 && s.cfg.FallMultiple > 0 {
 		capable := s.cfg.FallMultiple * share * s.capacity(r)
-		alone := s.slowStartPart(r) * safeCalls(capable*seconds(s.cfg.Fall), s.cfg.Fleet) / seconds(s.cfg.Fall)
+		fall := seconds(s.cfg.Fall)
+		alone := s.slowStartPart(r) * safeCalls(capable*fall, s.cfg.Fleet) / fall
 		return r.known.Cold(s.now, alone, s.t.KnowingShare*capable), true
 	}
 	limit := s.limit(r)
 	return r.known.Part(s.now, &r.part) * limit, limit > 0
 }
 
-// slowStartPart is this sender's part of what all senders may send on the way back: something to all alike, something by what it
-// was handed since the outage began, and something by what passed before. An even share alone starves the few senders of a
-// large fleet that hold messages. The three add up, so that the parts of all senders sum up to one where the demand of all is
-// the capacity. The greatest of the three would sum up to more, for it is another one at each sender.
+// slowStartPart is this sender's part of what all senders may send on the way back: something to all alike,
+// something by what it was handed since the outage began, and something by what passed before. An even share
+// alone starves the few senders of a large fleet that hold messages. The three add up, so that the parts of
+// all senders sum up to one where the demand of all is the capacity. The greatest of the three would sum up
+// to more, for it is another one at each sender.
 func (s *Sender) slowStartPart(r *route) float64 {
 	capacity := s.capacity(r)
 	own := r.demand / (seconds(s.now-r.struckAt) + seconds(s.t.DemandPrior))
@@ -64,8 +66,8 @@
 	return n + 2*math.Sqrt(n) + 2
 }
 
-// expireRetry takes back the call that may follow a failure at once, where a message has waited for longer than that: its slots or its
-// rest were not free, and others that waited as well would go out with it.
+// expireRetry takes back the call that may follow a failure at once, where a message has waited for longer
+// than that: its slots or its rest were not free, and others that waited as well would go out with it.
 func (s *Sender) expireRetry(d *destination, r *route) {
 	if r.retry && s.now-max(d.waiting[0].arrived, r.suspectAt) > s.t.SuspectSpan {
 		r.retry = false
@@ -73,9 +75,10 @@
 	}
 }
 
-// safeCalls is how many calls all senders together may send in the mean, of which a cold server can do n, so that a count that is
-// higher by three deviations is still within its budget. The count of each of the senders is off by one at most, since nothing is
-// saved up: their variances sum up to a quarter a sender, or to the mean where each sends seldom.
+// safeCalls is how many calls all senders together may send in the mean, of which a cold server can do n, so
+// that a count that is higher by three deviations is still within its budget. The count of each of the
+// senders is off by one at most, since nothing is saved up: their variances sum up to a quarter a sender, or
+// to the mean where each sends seldom.
 func safeCalls(n float64, senders int) float64 {
 	const deviations, most = 3, 1.15 // a little more than it can do is served from the queue
 	budget := slowStartBudget(n)
