--- a/delivery/clock.go
+++ b/delivery/clock.go
@@ -57,7 +57,7 @@
 	if !ok {
 		return c, reading{}, false
 	}
-	up = up.Truncate(time.Microsecond)
+	up = (up - time.Since(now)).Truncate(time.Microsecond) // at the life's start, which may be a while ago on a busy machine
 	switch {
 	case last.boot == "":
 	case last.boot == boot && up >= last.up:
