A further life that comes too late is refused, not failed: it may come again

Such a further life was given up in the step that took it, and one of a key that may have run before can only be given up as failed. "The message failed" means that coming again is of no use, so the service left the whole destination alone for a minute. Nothing of that life had been sent.

Change: a spare message that was not tried in this life, and whose time is up, is pushed back. One whose past forbids a repeat fails as before (TestAFurtherLifeWithAPast).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -213,11 +213,17 @@
 	m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect != Safe
 	m.mayRun, m.zone = e.MayRun, e.Zone
 	late := m.touched && m.class.Effect == Keyed && s.now >= s.windowEnd(m)
-	if (m.touched && m.class.Effect == Unsafe) || late || s.spent(m) || s.now >= m.dropDead-s.t.EndMargin {
+	if (m.touched && m.class.Effect == Unsafe) || late || s.spent(m) {
 		s.giveUp(m)
 		return
 	}
-	if m.spare && !s.admitSpare(d, m) {
+	// A spare message that was not tried yet in this life of its own may come again as it is.
+	tooLate := m.spare && m.attempts == 0 && s.now >= m.dropDead-s.t.EndMargin-2*s.cfg.Tick
+	if s.now >= m.dropDead-s.t.EndMargin && !tooLate {
+		s.giveUp(m)
+		return
+	}
+	if tooLate || (m.spare && !s.admitSpare(d, m)) {
 		s.finish(m, PushBack{ID: m.id, RetryAfter: s.retryAfter(d)})
 		return
 	}
--- a/delivery/again_test.go
+++ b/delivery/again_test.go
@@ -230,3 +230,18 @@
 		t.Errorf("a live message beside them: %+v", r)
 	}
 }
+
+// Guards against one late further life being taken for one that is of no use, for which its whole destination was left alone.
+func TestAFurtherLifeWhoseTimeIsUpMayComeAgain(t *testing.T) {
+	c := newCarrier(pass)
+	n, _ := start(t, keeping(t.TempDir(), &keeper{}, at(t, "e", 7)), Front{Carrier: c, Sink: &sink{}})
+	for _, left := range []time.Duration{-time.Second, 0, 10 * time.Millisecond, 20 * time.Millisecond} {
+		m := message("o", order, left)
+		if a := n.Resend("", again(m, time.Now().Add(-time.Second))); a.Failed != "" || !a.Refused {
+			t.Errorf("with %v left: %+v", left, a)
+		}
+	}
+	if ids := c.ids(); len(ids) != 0 {
+		t.Errorf("sent %v", ids)
+	}
+}
