A further life's time counts from when it is handed in, not from its round's begin

What callers saw: after a restart with a backlog, undelivered messages were not sent again for a minute.

Change: the clock is read for each life.

--- a/undelivered/recovery/schedule.go
+++ b/undelivered/recovery/schedule.go
@@ -154,7 +154,7 @@
 		}
 		return false // somebody was faster, and has been told that he was
 	}
-	a, nap := s.hand(r, &e, now), refusedNap
+	a, nap := s.hand(r, &e, s.o.Now()), refusedNap // each one before took its time
 	if !a.Refused && a.Failed == "" {
 		delete(s.queue, r.Number)
 		return true
