An undelivered message that is not taken holds up itself, not its destination

What callers saw: one entry that the engine does not take (its front is gone, its body is damaged) kept all other undelivered messages of its destination from being sent again, a minute at a time.

Cause: the pause after such an answer was noted for the destination. The answer tells of that entry alone.

Change: the entry rests for the minute, and the store is scanned again when that is over. The destination waits as long as after a refusal.

--- a/undelivered/recovery/recovery.go
+++ b/undelivered/recovery/recovery.go
@@ -115,6 +115,7 @@
 	// Of Run only.
 	queue   map[uint64]*rules.Entry // found by the last scan and not yet sent
 	last    map[int]time.Time       // when a resend last went to each destination
+	rests   map[uint64]time.Time    // entries that the engine did not take, and until when they are left alone
 	scanned time.Time
 	took    time.Duration // of the last scan
 	rescan  time.Time     // when an entry that the last scan passed over falls due; zero for none
@@ -135,7 +136,7 @@
 	}
 	s := &Service{
 		o: o, store: store, set: set, kick: make(chan struct{}, 1), lives: map[string]int{}, out: map[int]int{}, dirty: true,
-		room: maxUnkeptBytes, queue: map[uint64]*rules.Entry{}, last: map[int]time.Time{}, blocked: map[int]time.Time{},
+		room: maxUnkeptBytes, queue: map[uint64]*rules.Entry{}, last: map[int]time.Time{}, rests: map[uint64]time.Time{}, blocked: map[int]time.Time{},
 	}
 	s.desk = &Desk{o: o, store: store, rules: s.rules, changed: s.more}
 	return s, nil
--- a/undelivered/recovery/recovery_test.go
+++ b/undelivered/recovery/recovery_test.go
@@ -272,6 +272,24 @@
 	}
 }
 
+// Guards against an entry that the engine can't take holding up the others of its destination for a minute.
+func TestAnEntryThatIsNotTakenHoldsUpNoOther(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, silent)
+	gone := delivery.Lost{Ref: delivery.Ref{Front: "a front that is gone", ID: "x", Deadline: time.Now()}, Key: "key of x", Class: order, Dest: 7,
+		Body: []byte("body"), State: delivery.Failed, Due: time.Now(), Ended: time.Now()}
+	if err := r.s.Keep([]delivery.Lost{gone}); err != nil {
+		t.Fatal(err)
+	}
+	r.hand("a", order)
+	r.entry("a", "kept", is(undelivered.Waiting))
+	r.bank.set(pass)
+	r.entry("a", "delivered", is(undelivered.Delivered))
+	if e := r.entry("x", "waiting", is(undelivered.Waiting)); e.Resends != 0 {
+		t.Errorf("got %+v", e.Entry)
+	}
+}
+
 func TestAnUnsafeMessageWaitsForAPerson(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, silent)
--- a/undelivered/recovery/schedule.go
+++ b/undelivered/recovery/schedule.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"time"
 
 	"starlingusher/delivery"
@@ -64,6 +65,7 @@
 	s.mu.Unlock()
 	began := time.Now()
 	clear(s.queue)
+	maps.DeleteFunc(s.rests, func(_ uint64, until time.Time) bool { return !now.Before(until) })
 	s.rescan = time.Time{}
 	perDest := map[int]int{}
 	more := false
@@ -78,9 +80,9 @@
 		switch v := set.Judge(&r, time.Time{}, now); {
 		case !v.Send && v.At.IsZero():
 		case !v.Send && v.At.Sub(now) > horizon:
-			if s.rescan.IsZero() || v.At.Before(s.rescan) {
-				s.rescan = v.At
-			}
+			s.rescanBy(v.At)
+		case now.Before(s.rests[r.Number]):
+			s.rescanBy(s.rests[r.Number])
 		case len(s.queue) >= maxQueue || perDest[r.Dest] >= maxPerQueue:
 			more = true
 		default:
@@ -154,24 +156,32 @@
 		}
 		return false // somebody was faster, and has been told that he was
 	}
-	a, nap := s.hand(r, &e, s.o.Now()), refusedNap // each one before took its time
+	a := s.hand(r, &e, s.o.Now()) // each one before took its time
 	if !a.Refused && a.Failed == "" {
 		delete(s.queue, r.Number)
 		return true
 	}
-	if a.Failed != "" {
+	if a.Failed != "" { // this says nothing of the other entries of its destination
 		s.o.Log.Warn("an undelivered message is not taken", "entry", r.Number, "id", e.ID, "why", a.Failed)
 		delete(s.queue, r.Number)
-		nap = failedNap
+		s.rests[r.Number] = now.Add(failedNap)
+		s.rescanBy(s.rests[r.Number])
 	}
 	s.over(e.Ref())
 	if err := s.store.Back(r.Number); err != nil {
 		s.o.Log.Error("a resend can't be taken back before the next start", "entry", r.Number, "err", err)
 	}
-	s.block(r.Dest, now.Add(max(nap, a.After)))
+	s.block(r.Dest, now.Add(max(refusedNap, a.After)))
 	return false
 }
 
+// rescanBy has the store scanned again at a time, if that is not done before.
+func (s *Service) rescanBy(at time.Time) {
+	if s.rescan.IsZero() || at.Before(s.rescan) {
+		s.rescan = at
+	}
+}
+
 // block has nothing sent again to a destination before a time.
 func (s *Service) block(dest int, until time.Time) {
 	s.mu.Lock()
