Soak: a server that comes back binds its address again until it is free

Change: binding is tried again while the address is in use, for 5 s at most; likewise where a server vanishes.

--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -88,8 +88,11 @@
 
 // listen accepts connections at an address. The lock is held.
 func (s *server) listen(addr string) (string, error) {
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
+	var ln net.Listener
+	if err := bindAgain(func() (err error) {
+		ln, err = net.Listen("tcp", addr)
+		return err
+	}); err != nil {
 		return "", fmt.Errorf("server %d: %w", s.number, err)
 	}
 	s.lns = append(s.lns, ln)
@@ -108,6 +111,17 @@
 	return ln.Addr().String(), nil
 }
 
+// bindAgain binds an address that was just given back. A process that is being started holds it a little longer: its copies of
+// this process's sockets are closed by exec alone, after the fork has returned here.
+func bindAgain(bind func() error) error {
+	const patience, pause = 5 * time.Second, time.Millisecond
+	for end := time.Now().Add(patience); ; time.Sleep(pause) {
+		if err := bind(); !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
 // unlisten closes the listeners. The lock is held.
 func (s *server) unlisten() {
 	for _, ln := range s.lns {
@@ -165,13 +179,10 @@
 	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
 		return err
 	}
-	for range 100 { // the listener goes once its accept has returned
-		if err = errors.Join(syscall.Bind(fd, to), syscall.Listen(fd, 0)); err == nil {
-			break
-		}
-		time.Sleep(time.Millisecond)
+	if err := bindAgain(func() error { return syscall.Bind(fd, to) }); err != nil {
+		return err
 	}
-	if err != nil {
+	if err := bindAgain(func() error { return syscall.Listen(fd, 0) }); err != nil {
 		return err
 	}
 	for range 2 {
