Soak: a told wait ends with the process only if it was told just before the end

Node 15 was killed at 11.107 s; the call came at 11.722 s, when its new process was some milliseconds old.

The check forgot a node's waits when the rig had found it ready, a moment after the new process had begun to send.

Change: the check is stricter than it was. Waits bind the next life too, unless told within the last 0.5 s of the one before, in which a busy node may not have journaled them. Answers to calls of a process that has ended tell nobody. A breach says how long ago the wait was told.

--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -103,19 +103,20 @@
 
 // The rules' figures, as the settings tell them to nodes.
 const (
-	fallMultiple   = 1.5
-	fallSpan       = 2 * time.Second
-	drainGrace     = 250 * time.Millisecond
-	ruleSlack      = 50 * time.Millisecond // of each limit on sockets
-	lostSlack      = 300 * time.Millisecond
-	restartGrace   = 1500 * time.Millisecond // after a node is ready again
-	readyWithin    = 10 * time.Second
-	killAfter      = 3700 * time.Millisecond // after SIGTERM, at the earliest
-	startAfter     = 600 * time.Millisecond  // after SIGKILL
-	answerPatience = 400 * time.Millisecond  // of clients
-	answerLongest  = 3 * time.Second         // after which a request counts as never answered
-	longestWait    = time.Second             // beyond the time to room, that a server at its limit tells
-	waitSlack      = 100 * time.Millisecond  // in which calls after a told wait are let through
+	fallMultiple    = 1.5
+	fallSpan        = 2 * time.Second
+	drainGrace      = 250 * time.Millisecond
+	ruleSlack       = 50 * time.Millisecond // of each limit on sockets
+	lostSlack       = 300 * time.Millisecond
+	restartGrace    = 1500 * time.Millisecond // after a node is ready again
+	readyWithin     = 10 * time.Second
+	killAfter       = 3700 * time.Millisecond // after SIGTERM, at the earliest
+	startAfter      = 600 * time.Millisecond  // after SIGKILL
+	answerPatience  = 400 * time.Millisecond  // of clients
+	answerLongest   = 3 * time.Second         // after which a request counts as never answered
+	longestWait     = time.Second             // beyond the time to room, that a server at its limit tells
+	waitSlack       = 100 * time.Millisecond  // in which calls after a told wait are let through
+	journaledWithin = 500 * time.Millisecond  // of a node's reading it, on a busy machine, a wait outlasts the node's process
 )
 
 // budget is how many calls a cold server bears within fallSpan that could do n of them.
--- a/internal/faults/soak/history.go
+++ b/internal/faults/soak/history.go
@@ -66,6 +66,7 @@
 	messages map[string]*message
 	keys     map[string][]time.Duration // runs of the effects of a key that count
 	waiting  map[[2]int]wait            // by node and server
+	absent   map[int]bool               // nodes without a process
 	drains   map[string]time.Duration   // endpoints that drain, since when that was told
 	away     []span                     // of nodes: from a signal until they have been ready again for a while
 	breaches []Breach
@@ -84,7 +85,7 @@
 }
 
 func newHistory(p *play) *history {
-	return &history{play: p, messages: map[string]*message{}, keys: map[string][]time.Duration{}, waiting: map[[2]int]wait{}, drains: map[string]time.Duration{}}
+	return &history{play: p, messages: map[string]*message{}, keys: map[string][]time.Duration{}, waiting: map[[2]int]wait{}, absent: map[int]bool{}, drains: map[string]time.Duration{}}
 }
 
 func (h *history) breach(rule Rule, format string, args ...any) {
@@ -152,7 +153,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if w := h.waiting[[2]int{node, server}]; now > w.told+waitSlack+ruleSlack && now < w.until {
-		h.breachLocked(WaitKept, "server %d was called by node %d %v before the wait that it told has ended", server, node, w.until-now)
+		h.breachLocked(WaitKept, "server %d was called by node %d %v before the wait that it told has ended, %v after that was told",
+			server, node, w.until-now, now-w.told)
 	}
 	if told, ok := h.drains[endpoint]; ok && now > told+drainGrace+ruleSlack {
 		h.breachLocked(DrainKept, "endpoint %s was called by node %d %v after it was told to drain", endpoint, node, now-told)
@@ -172,6 +174,9 @@
 func (h *history) waits(now time.Duration, node, server int, d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.absent[node] {
+		return // the answer to a call of a process that has ended
+	}
 	w := h.waiting[[2]int{node, server}]
 	if until := now + d; until > w.until {
 		h.waiting[[2]int{node, server}] = wait{now, until}
@@ -218,8 +223,24 @@
 			s.to = h.play.now() + restartGrace + ruleSlack
 		}
 	}
-	for k := range h.waiting {
-		if k[0] == node {
+}
+
+// begins notes that a process of a node is started.
+func (h *history) begins(node int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.absent, node)
+}
+
+// gone notes that a node's process has ended, and no other has begun. Waits that it was told just before may not have reached its
+// journal: a restart ends those, by the page. The others bind its next life too.
+func (h *history) gone(node int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.play.now()
+	h.absent[node] = true
+	for k, w := range h.waiting {
+		if k[0] == node && now-w.told < journaledWithin {
 			delete(h.waiting, k)
 		}
 	}
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -116,6 +116,7 @@
 		return err
 	}
 	began := n.play.now()
+	n.play.history.begins(n.number)
 	if err := cmd.Start(); err != nil {
 		return errors.Join(err, log.Close())
 	}
@@ -233,6 +234,7 @@
 		n.signal(syscall.SIGKILL)
 		<-done
 	}
+	n.play.history.gone(n.number)
 	n.mu.Lock()
 	n.cmd = nil
 	n.mu.Unlock()
