Soak: system calls on sockets and on the state folder fail in real processes

Need: nothing showed what processes of the program do while accept, socket, connect, read and write fail with the listed errors, reads and writes are short, or the folder can't be written for some seconds. Unit tests have seams for it.

Change: faults.Failing builds the program with package syscall of the standard library overlaid, as faults.Skewed does for its clocks: no privilege, no shim loaded. By its environment one in a thousand or in a hundred calls on sockets fails or is cut short at any time (the other side sees a reset where the error says that the connection is gone), all accepts, sockets and connects fail for two seconds, and writes, truncations, syncs, opens and renames in the folder fail with ENOSPC or EIO for up to four seconds, half of a write done or none. Each life of a node draws its own.

--- a/internal/faults/clocks.go
+++ b/internal/faults/clocks.go
@@ -51,13 +51,13 @@
 func skewMono(mono int64) int64 { return mono + (mono-startNano)/1000*skew[1] }
 `
 
-// Skewed builds the program with clocks that can be set off, without any privilege: by an overlay of the standard library's package time. What
-// sleeps sleeps for true time; what looks at a clock sees another.
-func Skewed(ctx context.Context, folder string) (program string, err error) {
-	at := filepath.Join(build.Default.GOROOT, "src", "time")
+// clockOverlay has the clocks of a program set off as its environment says. What sleeps sleeps for true time; what looks at a clock
+// sees another.
+func clockOverlay(root string) (map[string]string, error) {
+	at := filepath.Join(root, "src", "time")
 	source, err := os.ReadFile(filepath.Join(at, "time.go"))
 	if err != nil {
-		return "", err
+		return nil, err
 	}
 	text := string(source)
 	for _, change := range [][2]string{
@@ -66,17 +66,39 @@
 		{"subMono(t.ext, runtimeNano()-startNano)", "subMono(t.ext, skewMono(runtimeNano())-startNano)"},
 	} {
 		if !strings.Contains(text, change[0]) {
-			return "", fmt.Errorf("faults: this Go's package time has no line %q", change[0])
+			return nil, fmt.Errorf("faults: this Go's package time has no line %q", change[0])
 		}
 		text = strings.ReplaceAll(text, change[0], change[1])
 	}
+	return map[string]string{filepath.Join(at, "time.go"): text, filepath.Join(at, "skew.go"): skew}, nil
+}
+
+// Skewed builds the program with clocks that can be set off, without any privilege: by an overlay of the standard library.
+func Skewed(ctx context.Context, folder string) (program string, err error) {
+	return buildOverlaid(ctx, folder, clockOverlay)
+}
+
+// Failing builds the program with clocks that can be set off and system calls that can fail, likewise.
+func Failing(ctx context.Context, folder string) (program string, err error) {
+	return buildOverlaid(ctx, folder, clockOverlay, callOverlay)
+}
+
+// buildOverlaid builds the program with some files of the standard library replaced. An overlay is told the root of the Go tool
+// chain, and returns the texts of files by their paths.
+func buildOverlaid(ctx context.Context, folder string, overlays ...func(root string) (map[string]string, error)) (program string, err error) {
 	replace := map[string]string{}
-	for name, text := range map[string]string{"time.go": text, "skew.go": skew} {
-		path := filepath.Join(folder, name)
-		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	for _, overlay := range overlays {
+		files, err := overlay(build.Default.GOROOT)
+		if err != nil {
 			return "", err
 		}
-		replace[filepath.Join(at, name)] = path
+		for at, text := range files {
+			path := filepath.Join(folder, fmt.Sprintf("%d_%s", len(replace), filepath.Base(at)))
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				return "", err
+			}
+			replace[at] = path
+		}
 	}
 	overlay, err := json.Marshal(map[string]any{"Replace": replace})
 	if err != nil {
--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -95,7 +95,8 @@
 	Classes []Class
 	Servers []Server
 	Faults  []Fault
-	Clocks  bool // wall clocks are off in each life, and are stepped; the program is a skewed one
+	Clocks  bool // wall clocks are off in each life, and are stepped; the program is one of faults.Failing
+	Calls   bool // system calls on sockets and on the folder fail in each life; likewise
 
 	ColdFrom float64       // share of its limit that a server has when it comes back
 	WarmIn   time.Duration // until it has all of it
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -104,9 +104,13 @@
 	cmd := exec.Command(n.play.options.Program)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+filepath.Join(n.folder, "config.json"), "ROUTER_STATE="+filepath.Join(n.folder, "state"),
 		"ROUTER_NAME="+fmt.Sprintf("n%d", n.number), "ROUTER_DISCOVERY="+n.discovery)
+	n.lives++
 	if n.play.day.Clocks {
 		cmd.Env = append(cmd.Env, n.clock())
 	}
+	if n.play.day.Calls {
+		cmd.Env = append(cmd.Env, n.calls().Environment())
+	}
 	words, err := cmd.StderrPipe()
 	if err != nil {
 		return err
@@ -166,13 +170,30 @@
 
 // clock draws how far off the wall clock of the next life is, and a step in it.
 func (n *node) clock() string {
-	n.lives++
 	rng := rand.New(rand.NewPCG(n.play.day.Seed, uint64(5000+100*n.number+n.lives)))
 	steps := []time.Duration{-time.Hour, -5 * time.Second, 0, 5 * time.Second, time.Hour}
 	after := time.Duration(rng.Int64N(int64(n.play.day.Length)))
 	return faults.SteppedClock(steps[rng.IntN(len(steps))], after, steps[rng.IntN(len(steps))])
 }
 
+// calls draws which system calls of the next life fail: seldom and at any time on sockets, all that begin connections for two
+// seconds, and those that write the folder for some seconds, now and then from the start.
+func (n *node) calls() faults.Calls {
+	const socketsFail, folderFails = 2 * time.Second, 4 * time.Second
+	rng := rand.New(rand.NewPCG(n.play.day.Seed, uint64(9000+100*n.number+n.lives)))
+	left := max(n.play.day.Length-n.play.now(), time.Second)
+	c := faults.Calls{Seed: rng.Uint64(), InAMillion: []int{0, 1000, 10_000}[rng.IntN(3)]}
+	if rng.IntN(2) == 0 {
+		c.SocketsFrom = time.Duration(rng.Int64N(int64(left)))
+		c.SocketsTo = c.SocketsFrom + socketsFail
+	}
+	if rng.IntN(2) == 0 {
+		c.FolderFrom = max(0, time.Duration(rng.Int64N(int64(left)))-time.Second)
+		c.FolderTo = c.FolderFrom + time.Duration(rng.Int64N(int64(folderFails)))
+	}
+	return c
+}
+
 // read takes from the process's log what it was told of servers, and its end in a panic.
 func (n *node) read(words io.Reader) {
 	lines := bufio.NewScanner(words)
--- a/internal/faults/soak/soak_test.go
+++ b/internal/faults/soak/soak_test.go
@@ -18,7 +18,7 @@
 	first   = flag.Uint64("soak.first", 1, "the first of them")
 	keep    = flag.String("soak.keep", "", "a folder for the nodes' files and logs")
 	program string
-	skewed  string // the program with clocks that can be stepped
+	failing string // the program with clocks that can be stepped and system calls that can fail
 )
 
 func TestMain(m *testing.M) {
@@ -35,12 +35,12 @@
 			fmt.Fprintf(os.Stderr, "%s: %v\n", out, err)
 			return 1
 		}
-		clocks := filepath.Join(folder, "clocks")
-		if err := os.Mkdir(clocks, 0o700); err != nil {
+		overlaid := filepath.Join(folder, "failing")
+		if err := os.Mkdir(overlaid, 0o700); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
-		if skewed, err = faults.Skewed(context.Background(), clocks); err != nil {
+		if failing, err = faults.Failing(context.Background(), overlaid); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
@@ -76,8 +76,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
 	defer cancel()
 	o := Options{Program: program, Folder: folder}
-	if day.Clocks {
-		o.Program = skewed
+	if day.Clocks || day.Calls {
+		o.Program = failing
 	}
 	report, err := Run(ctx, day, o)
 	if err != nil {
@@ -113,3 +113,12 @@
 		return day
 	})
 }
+
+// TestFailingSystemCallsLoseNothing guards the same rules while system calls on sockets and on the folder fail.
+func TestFailingSystemCallsLoseNothing(t *testing.T) {
+	playSeeds(t, []uint64{4}, func(seed uint64) *Day {
+		day := mixedDay(seed)
+		day.Calls = true
+		return day
+	})
+}
