Answers that need no record do not wait for a folder that fails

What callers saw: while the state folder could not be written, messages that had been taken on had no end in their time; their notices came when the folder was well again.

Cause: one list of acts waits for all queued records. A notice waits for the record of the end, so that a next life tells nothing else; but once a message's time is up a next life would not send it either, and would end it by itself.

Change: notices go out without their record from the message's deadline on, and are told again after a kill, which does no harm. Clients of messages that are taken on are answered at once. Sends and refusals wait for their records as before.

--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -200,14 +200,18 @@
 	}
 	end := newEnd(p)
 	end.Reply = reply
-	n.acts = append(n.acts, act{do: func() {
+	tell := act{do: func() {
 		for _, w := range waiters {
 			w <- end
 		}
 		if len(waiters) == 0 {
 			f.owed.put(end)
 		}
-	}})
+	}}
+	if len(waiters) == 0 {
+		tell.unguarded = p.deadline // a next life would not send it either, and tell the same
+	}
+	n.acts = append(n.acts, tell)
 }
 
 // note tells the keeper of an end before it is written.
--- a/delivery/files_test.go
+++ b/delivery/files_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -197,3 +198,55 @@
 		}
 	}
 }
+
+// downFiles let some writes through, and fail all that come after them.
+type downFiles struct {
+	osFiles
+	writes atomic.Int64 // that still get through
+}
+
+func (s *downFiles) open(name string, flag int) (journalFile, error) {
+	if s.writes.Load() <= 0 {
+		return nil, &os.PathError{Op: "open", Path: name, Err: syscall.EIO}
+	}
+	f, err := s.osFiles.open(name, flag)
+	if err != nil {
+		return nil, err
+	}
+	return &downFile{f, s}, nil
+}
+
+type downFile struct {
+	journalFile
+	on *downFiles
+}
+
+func (f *downFile) WriteAt(b []byte, at int64) (int, error) {
+	if f.on.writes.Add(-1) < 0 {
+		return 0, syscall.ENOSPC
+	}
+	return f.journalFile.WriteAt(b, at)
+}
+
+// Guards against final answers that wait for a folder that fails until long after the messages' time.
+func TestAFinalAnswerComesInTimeWhileTheFolderFails(t *testing.T) {
+	for class := range 3 {
+		files, s := &downFiles{}, &sink{}
+		files.writes.Store(1) // the record of a message that is taken on, and not that of its attempt
+		cfg := config(t.TempDir(), at(t, "e", 7))
+		cfg.files = files
+		c := newCarrier(pass)
+		n, stop := start(t, cfg, Front{Carrier: c, Sink: s})
+		if a := n.Hand("", message("m", class, 200*time.Millisecond)); a.Refused || a.Failed != "" {
+			t.Fatalf("got %+v", a)
+		}
+		eventually(t, "the end", func() bool { return s.state("m") != "" })
+		if ids := c.ids(); len(ids) != 0 {
+			t.Errorf("class %d: sent %v with no record of it", class, ids)
+		}
+		// Else stopping says that the journal could not be written.
+		files.writes.Store(1000)
+		eventually(t, "the journal", func() bool { return !n.Hand("", message("next", class, time.Minute)).Refused })
+		stop()
+	}
+}
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -55,6 +55,7 @@
 // act is something that the records before it guard. Instead is done where those can't be held, nil for the act itself.
 type act struct {
 	do, instead func()
+	unguarded   time.Time // from then on it needs no record; zero for never
 }
 
 // holding is what an engine with Copies keeps.
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -209,18 +209,27 @@
 			n.log.Info(a.Text)
 		}
 	}
-	for num := range fresh { // not refused, so taken on; with Copies they are held
-		if n.cfg.Copies != nil {
-			fresh.reply(num, Answer{})
-			continue
-		}
-		n.acts = append(n.acts, act{do: func() { fresh.reply(num, Answer{}) }})
+	for num := range fresh { // not refused, so taken on: that is written, and with Copies held
+		fresh.reply(num, Answer{})
 	}
 	n.hold.urgent = len(n.acts) > 0
 	if err := n.flush(); err != nil {
+		n.actUnguarded()
 		n.log.Info("waiting for the journal", "acts", len(n.acts), "err", err)
 		return
 	}
 	n.guard(n.acts, n.byes)
 	n.acts, n.byes = n.acts[:0], n.byes[:0]
 }
+
+// actUnguarded does what needs no record any more, while none can be written.
+func (n *Engine) actUnguarded() {
+	now := time.Now()
+	n.acts = slices.DeleteFunc(n.acts, func(a act) bool {
+		due := !a.unguarded.IsZero() && now.After(a.unguarded)
+		if due {
+			a.do()
+		}
+		return due
+	})
+}
