A start and a new configuration wait while this machine is short of descriptors

What callers saw: a node that was restarted while no descriptor could be had (EMFILE, ENFILE, ENOBUFS, ENOMEM) ended with "configuration: open: too many open files in system" and did not come back.

Cause: reading the configuration, listening and reading the machine's boot id were tried once. By the same lines a SIGHUP at such a moment was lost ("the old configuration stays"), and a boot id that could not be read made the start take the machine for started anew, so that deadlines and windows went by the wall clock.

Change: the three are tried again for up to 10 s, every 20 ms, while the error tells of this machine or is EIO or EINTR. Others, an address that is not this machine's among them, fail at once as before.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := node.Listen(cfg.Listen)
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("clients: %w", err), n.Engine().Close())
 	}
--- a/internal/node/boot.go
+++ b/internal/node/boot.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"os"
 	"strings"
 	"time"
 
@@ -13,7 +12,7 @@
 
 // bootClock is a delivery.BootClock of the machine's monotonic clock.
 func bootClock() (boot string, up time.Duration, ok bool) {
-	id, err := os.ReadFile(bootFile)
+	id, err := readFile(bootFile) // without it the node would take the machine for started anew
 	if err != nil {
 		return "", 0, false
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"os"
 
 	"starlingusher/choice"
 	"starlingusher/delivery"
@@ -43,7 +42,7 @@
 // LoadConfig reads the configuration file of a node whose lasting folder is state.
 func LoadConfig(path, state string) (Config, error) {
 	var c Config
-	raw, err := os.ReadFile(path)
+	raw, err := readFile(path)
 	if err != nil {
 		return c, fmt.Errorf("configuration: %w", err)
 	}
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"time"
 )
@@ -42,3 +43,39 @@
 		}
 	}
 }
+
+// The times for which a start or a new configuration waits for what this machine lacks.
+const (
+	localPatience = 10 * time.Second
+	localPause    = 20 * time.Millisecond
+)
+
+// whenAble does something, and again for a while as long as this machine lacks what it takes.
+func whenAble(do func() error) error {
+	for end := time.Now().Add(localPatience); ; time.Sleep(localPause) {
+		err := do()
+		lacks := isLocalFailure(err) || errors.Is(err, syscall.EIO) || errors.Is(err, syscall.EINTR)
+		if err == nil || !lacks || errors.Is(err, syscall.EADDRNOTAVAIL) || time.Now().After(end) {
+			return err
+		}
+	}
+}
+
+// readFile is os.ReadFile that waits while this machine can open or read none.
+func readFile(path string) (text []byte, err error) {
+	err = whenAble(func() (err error) {
+		text, err = os.ReadFile(path)
+		return err
+	})
+	return text, err
+}
+
+// Listen listens on a TCP address, and waits while this machine can make no socket. An address that is not this machine's is an
+// error at once.
+func Listen(addr string) (ln net.Listener, err error) {
+	err = whenAble(func() (err error) {
+		ln, err = net.Listen("tcp", addr)
+		return err
+	})
+	return ln, err
+}
--- a/internal/node/local_test.go
+++ b/internal/node/local_test.go
@@ -107,3 +107,22 @@
 		})
 	}
 }
+
+// Guards against a start or a new configuration that is refused because this machine has no descriptor for a moment.
+func TestAStartWaitsForAMachineThatIsShort(t *testing.T) {
+	for errno, waits := range map[syscall.Errno]bool{
+		syscall.EMFILE: true, syscall.ENFILE: true, syscall.ENOBUFS: true, syscall.ENOMEM: true, syscall.EIO: true, syscall.EINTR: true,
+		syscall.EADDRNOTAVAIL: false, syscall.EADDRINUSE: false, syscall.ENOENT: false, syscall.EACCES: false,
+	} {
+		calls := 0
+		err := whenAble(func() error {
+			if calls++; calls < 4 {
+				return systemError("open", errno)
+			}
+			return nil
+		})
+		if waited := err == nil; waited != waits || (!waits && calls != 1) {
+			t.Errorf("%v: %v after %d calls", errno, err, calls)
+		}
+	}
+}
