Notices have a connection in reserve, and are posted again every 100 ms

What callers saw: while no socket could be had for two seconds, messages that ended then had no notice in their time, and some none for a further second.

Cause: a node that had posted no notice yet, or whose connection to discovery had been reset, had no connection to post on. And the pause between two posts doubled up to 2 s, though a notice is overdue 300 ms after its message's time.

Change: one connection to discovery is made ahead and used when none can be dialed; another follows once one can. The pause is 50 to 100 ms at most (chosen: three tries within the 300 ms); the line is logged while the pause doubles, not at every try. A node has one more connection to the agent on its own machine, none to endpoints.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -28,16 +28,20 @@
 // site is one address of discovery, for as long as it is the address.
 type site struct {
 	addr     string
-	client   *http.Client
-	moved    bool      // there was another one before
-	asked    bool      // it has told this node something; only kept where there is a relay
-	caughtUp time.Time // until then a list may be older than what the one before has told
+	client   *http.Client // of the watch
+	notices  *http.Client
+	spare    *spareDialer // of notices: each of them has a time
+	moved    bool         // there was another one before
+	asked    bool         // it has told this node something; only kept where there is a relay
+	caughtUp time.Time    // until then a list may be older than what the one before has told
 	left     context.Context
 	leave    context.CancelFunc
 }
 
 func newSite(addr string) *site {
-	s := &site{addr: addr, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}}
+	s := &site{addr: addr, spare: newSpareDialer(addr)}
+	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
+	s.notices = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: s.spare.dial}}
 	s.left, s.leave = context.WithCancel(context.Background())
 	return s
 }
@@ -85,6 +89,7 @@
 		cancel()
 		if s.left.Err() != nil || ctx.Err() != nil {
 			s.client.CloseIdleConnections()
+			s.notices.CloseIdleConnections()
 		}
 	}
 }
@@ -100,6 +105,7 @@
 	}
 	for ctx.Err() == nil {
 		s, here, leave := a.at(ctx)
+		beside.Go(func() { s.spare.run(here) })
 		if a.relay == nil {
 			r.watch(here, s)
 		} else {
@@ -190,10 +196,13 @@
 	var pause backoff
 	for ctx.Err() == nil {
 		s, here, leave := a.at(ctx)
-		err := post(here, s.client, s.addr, ends)
+		err := post(here, s.notices, s.addr, ends)
 		if err != nil && here.Err() == nil {
-			a.log.Warn("notices not taken", "count", len(ends), "err", err)
-			sleep(here, pause.next())
+			before, wait := pause, pause.next()
+			if pause != before { // not each time of a long outage
+				a.log.Warn("notices not taken", "count", len(ends), "err", err)
+			}
+			sleep(here, min(wait, longestNoticePause))
 		}
 		if here.Err() != nil {
 			pause = 0 // another server has not failed yet
--- a/internal/node/asking_test.go
+++ b/internal/node/asking_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -27,6 +28,9 @@
 	return nil
 }
 
+// noConnection is a dial in a test without a network.
+func noConnection(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+
 // A node of a fleet of three hundred asks for the list at its start, and after a watch has gone silent it has asked again before
 // what it missed counts as told.
 func TestAskedBeforeItBinds(t *testing.T) {
@@ -34,6 +38,7 @@
 		began, asked := time.Now(), make(chan time.Duration, 9)
 		known := list{Revision: 3, Members: []member{{ID: "e", Addr: "e", Phase: "SERVING"}}}
 		a := newAgent("discovery:1", known, 300, wire.Names{}, slog.New(slog.DiscardHandler))
+		a.site.spare.connect = noConnection
 		a.site.client.Transport = trips(func(r *http.Request) (*http.Response, error) {
 			asked <- time.Since(began)
 			silent, w := io.Pipe() // after one line
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -16,6 +16,8 @@
 	// A notice is answered at once, and is overdue 300 ms after its message's time: a connection that has died in
 	// silence must leave time for another.
 	noticeTimeout = 150 * time.Millisecond
+	// The agent is on the same machine. What can be posted again has to be posted before it is overdue.
+	longestNoticePause = 100 * time.Millisecond
 )
 
 // notice is the end of a message that was taken on and not delivered.
--- /dev/null
+++ b/internal/node/spare_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingusher/delivery"
+	"starlingusher/internal/wire"
+)
+
+// Guards against notices that are overdue because this machine can make no connection for a while.
+func TestANoticeIsPostedWhileNoConnectionCanBeMade(t *testing.T) {
+	t.Parallel()
+	r := newRegistry(t)
+	a := newAgent(r.Addr(), list{}, 1, wire.Names{}, slog.New(slog.DiscardHandler))
+	var short atomic.Bool
+	connect := a.site.spare.connect
+	a.site.spare.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if short.Load() {
+			return nil, systemError("socket", syscall.ENFILE)
+		}
+		return connect(ctx, network, addr)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		a.Watch(ctx, func(delivery.List) {})
+	}()
+	defer func() {
+		cancel()
+		<-watched
+	}()
+	eventually(t, "a connection in reserve", a.site.spare.has)
+	short.Store(true)
+	posting, end := context.WithTimeout(ctx, 10*time.Second)
+	defer end()
+	for _, id := range []string{"first", "second"} {
+		if err := a.Take(posting, []delivery.End{{ID: id, State: delivery.Failed}}); err != nil {
+			t.Fatal(err)
+		}
+		if got := r.State(id); got != "failed" {
+			t.Errorf("%s is %q", id, got)
+		}
+	}
+}
