--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -215,7 +215,6 @@
 	n.hold.urgent = len(n.acts) > 0
 	if err := n.flush(); err != nil {
 		n.actUnguarded()
-		n.log.Info("waiting for the journal", "acts", len(n.acts), "err", err)
 		return
 	}
 	n.guard(n.acts, n.byes)
