Soak: no descriptors at all, from the start too; a wait that was not read binds nobody

While accept, socket and connect fail, files can't be opened either, as without descriptors; both windows may begin with a life's start.

--- a/internal/faults/calls.go
+++ b/internal/faults/calls.go
@@ -9,15 +9,15 @@
 )
 
 // callsVariable tells a process of a Failing program which of its system calls fail: a seed, how many in a million calls on sockets
-// fail or are cut short at any time, from when to when all accepts, sockets and connects fail, and from when to when its state
-// folder does, in milliseconds from its start.
+// fail or are cut short at any time, from when to when no descriptor can be had and all accepts and connects fail, and from when to
+// when its state folder can't be written, in milliseconds from its start.
 const callsVariable = "CORALYARD_RIG_CALLS"
 
 // Calls tells which system calls of a process fail. The zero value has none fail.
 type Calls struct {
 	Seed        uint64
 	InAMillion  int           // calls on sockets that fail or are cut short, at any time
-	SocketsFrom time.Duration // from when to when all accepts, sockets and connects fail
+	SocketsFrom time.Duration // from when to when no descriptor can be had, and all accepts and connects fail
 	SocketsTo   time.Duration
 	FolderFrom  time.Duration // from when to when the state folder can't be written
 	FolderTo    time.Duration
@@ -182,6 +182,9 @@
 }
 
 func openat(dirfd int, path string, flags int, mode uint32) (int, error) {
+	if rigWithin(2) {
+		return -1, rigOneOf(EMFILE, ENFILE, ENOMEM)
+	}
 	if flags&(O_WRONLY|O_RDWR|O_CREAT) != 0 && rigFolderFails() && rigInFolder(path) {
 		return -1, rigDiskError()
 	}
--- a/internal/faults/soak/history.go
+++ b/internal/faults/soak/history.go
@@ -55,8 +55,11 @@
 	ended     string // the state of its notice
 }
 
-// wait is a wait that a server told a node.
-type wait struct{ told, until time.Duration }
+// wait is a wait that a server told a node, with its answer to a message.
+type wait struct {
+	told, until time.Duration
+	message     string
+}
 
 // history is what clients, servers and discovery saw.
 type history struct {
@@ -170,8 +173,8 @@
 	}
 }
 
-// waits notes that a server asked a node to be left alone.
-func (h *history) waits(now time.Duration, node, server int, d time.Duration) {
+// waits notes that a server asked a node to be left alone, with its answer to a message.
+func (h *history) waits(now time.Duration, node, server int, id string, d time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.absent[node] {
@@ -179,7 +182,16 @@
 	}
 	w := h.waiting[[2]int{node, server}]
 	if until := now + d; until > w.until {
-		h.waiting[[2]int{node, server}] = wait{now, until}
+		h.waiting[[2]int{node, server}] = wait{now, until, id}
+	}
+}
+
+// unheard notes that a node's connection broke under a message: what its answer told was not read.
+func (h *history) unheard(node, server int, id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if k := [2]int{node, server}; h.waiting[k].message == id {
+		delete(h.waiting, k)
 	}
 }
 
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -176,15 +176,15 @@
 	return faults.SteppedClock(steps[rng.IntN(len(steps))], after, steps[rng.IntN(len(steps))])
 }
 
-// calls draws which system calls of the next life fail: seldom and at any time on sockets, all that begin connections for two
-// seconds, and those that write the folder for some seconds, now and then from the start.
+// calls draws which system calls of the next life fail: seldom and at any time on sockets, all that need a descriptor for two
+// seconds, and those that write the folder for some seconds, both now and then from the start.
 func (n *node) calls() faults.Calls {
 	const socketsFail, folderFails = 2 * time.Second, 4 * time.Second
 	rng := rand.New(rand.NewPCG(n.play.day.Seed, uint64(9000+100*n.number+n.lives)))
 	left := max(n.play.day.Length-n.play.now(), time.Second)
 	c := faults.Calls{Seed: rng.Uint64(), InAMillion: []int{0, 1000, 10_000}[rng.IntN(3)]}
 	if rng.IntN(2) == 0 {
-		c.SocketsFrom = time.Duration(rng.Int64N(int64(left)))
+		c.SocketsFrom = max(0, time.Duration(rng.Int64N(int64(left)))-time.Second)
 		c.SocketsTo = c.SocketsFrom + socketsFail
 	}
 	if rng.IntN(2) == 0 {
@@ -203,6 +203,9 @@
 		case strings.Contains(line, `msg="attempt ended"`):
 			if server, err := strconv.Atoi(field(line, "destination")); err == nil && server < len(n.play.servers) {
 				n.play.servers[server].toldNode(n.number)
+				if field(line, "outcome") == "cut" {
+					n.play.history.unheard(n.number, server, field(line, "message"))
+				}
 			}
 		case strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:"):
 			n.play.history.breach(ReadyInTime, "node %d: %s", n.number, line)
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -298,7 +298,7 @@
 	if s.tokens < 1 {
 		wait := time.Duration((1-s.tokens)/s.Limit*float64(time.Second)) + time.Duration(s.rng.Int64N(int64(longestWait)))
 		s.mu.Unlock()
-		s.play.history.waits(now, node, s.number, wait)
+		s.play.history.waits(now, node, s.number, id, wait)
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 429 Limit\r\n%sRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", s.report(), wait.Seconds())
 		return err == nil
 	}
