Soak: late dials, dropped connections, lost answers, moves in a row, bursts at the end

Change: kinds late, drop, lose (also in the second before an outage, so that what has run waits through it) and moves; half a request has to be answered or closed within 3 s; clients hand in 40 messages within 200 ms from just before SIGTERM.

--- a/internal/faults/soak/client.go
+++ b/internal/faults/soak/client.go
@@ -55,7 +55,30 @@
 	defer c.work.Wait()
 	for next := 0.0; ; {
 		next += c.rng.ExpFloat64() / rate
-		if next > c.play.day.Length.Seconds() || !c.play.sleepUntil(ctx, time.Duration(next*float64(time.Second))) {
+		if next > c.play.day.Length.Seconds() {
+			return
+		}
+		due := time.NewTimer(time.Duration(next*float64(time.Second)) - c.play.now())
+		select {
+		case <-due.C:
+			b := c.draw()
+			c.work.Go(func() { c.hand(ctx, b) })
+		case <-c.node.leaving:
+			c.burst(ctx)
+		case <-ctx.Done():
+			due.Stop()
+			return
+		}
+		due.Stop()
+	}
+}
+
+// burst hands messages in at short intervals while the node is told to end, so that some cross its closes.
+func (c *clients) burst(ctx context.Context) {
+	const messages, every = 40, 5 * time.Millisecond
+	began := c.play.now()
+	for i := range messages {
+		if !c.play.sleepUntil(ctx, began+time.Duration(i)*every) {
 			return
 		}
 		b := c.draw()
--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -54,10 +54,15 @@
 	Silence               // discovery is down: it answers nothing, and learns nothing
 	Crowd                 // idle clients connect to a node and stay
 	Halves                // clients send half of a request and stay
+	Late                  // connections to a server come up late
+	Drop                  // a server resets all its connections, again and again, with calls on them or none
+	Moves                 // discovery moves there and back several times in a row, with a SIGHUP each
+	Lose                  // a server does its calls and resets the connections in place of the answers
 	kinds
 )
 
-var kindNames = [kinds]string{"refuse", "hang", "fail", "shut", "vanish", "terminate", "kill", "stop", "replace", "move", "silence", "crowd", "halves"}
+var kindNames = [kinds]string{"refuse", "hang", "fail", "shut", "vanish", "terminate", "kill", "stop", "replace", "move", "silence", "crowd", "halves",
+	"late", "drop", "moves", "lose"}
 
 // String names the kind.
 func (k Kind) String() string {
@@ -116,6 +121,7 @@
 	answerPatience  = 400 * time.Millisecond  // of clients
 	answerLongest   = 3 * time.Second         // after which a request counts as never answered
 	longestWait     = time.Second             // beyond the time to room, that a server at its limit tells
+	halvesWithin    = 3 * time.Second         // of its last byte, half a request has its error or its close
 	waitSlack       = 100 * time.Millisecond  // in which calls after a told wait are let through
 	journaledWithin = 500 * time.Millisecond  // of a node's reading it, on a busy machine, a wait outlasts the node's process
 )
@@ -208,8 +214,12 @@
 	}
 	// A server is out once at most, and is replaced only if it is never out.
 	servers, restarted := rng.Perm(len(d.Servers)), rng.Perm(nodes)
-	for _, s := range servers[:len(servers)/3] {
-		d.Faults = append(d.Faults, Fault{Kind: Kind(rng.IntN(int(Vanish) + 1)), At: seconds(2, 10), For: seconds(5, 9), Target: s})
+	for i, s := range servers[:len(servers)/3] {
+		f := Fault{Kind: Kind(rng.IntN(int(Vanish) + 1)), At: seconds(2, 10), For: seconds(5, 9), Target: s}
+		d.Faults = append(d.Faults, f)
+		if i%2 == 0 { // what has run and not been answered waits through the outage
+			d.Faults = append(d.Faults, Fault{Kind: Lose, At: f.At - time.Second, For: time.Second, Target: s})
+		}
 	}
 	for _, s := range servers[len(servers)/3:][:2] {
 		d.Faults = append(d.Faults, Fault{Kind: Replace, At: seconds(2, 14), For: seconds(2, 6), Target: s})
@@ -230,6 +240,16 @@
 			d.Faults = append(d.Faults, Fault{Kind: kind, At: seconds(2, 16), For: seconds(2, 6), Target: others[i]})
 		}
 	}
+	for i, s := range servers[len(servers)/3+2:] {
+		if i < 2 {
+			d.Faults = append(d.Faults, Fault{Kind: Late, At: seconds(2, 18), For: seconds(0.2, 1.5), Target: s})
+		} else if i < 4 {
+			d.Faults = append(d.Faults, Fault{Kind: Drop, At: seconds(2, 18), For: seconds(0.5, 4), Target: s})
+		}
+	}
+	if len(others) > 3 {
+		d.Faults = append(d.Faults, Fault{Kind: Moves, At: seconds(2, 16), For: seconds(0.1, 1), Target: others[3]})
+	}
 	if rng.IntN(2) == 0 {
 		d.Faults = append(d.Faults, Fault{Kind: Silence, At: seconds(2, 12), For: seconds(1, 8)})
 	}
--- a/internal/faults/soak/play.go
+++ b/internal/faults/soak/play.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -16,6 +17,9 @@
 	"starlingusher/internal/standin"
 )
 
+// dropEvery is how often a server that drops its connections does.
+const dropEvery = 150 * time.Millisecond
+
 // Options are how a day is played.
 type Options struct {
 	Program string // the node
@@ -81,6 +85,7 @@
 	var all sync.WaitGroup
 	for _, n := range p.nodes {
 		c := &clients{play: p, node: n, rng: rand.New(rand.NewPCG(day.Seed, uint64(2000+n.number)))}
+		n.leaving = make(chan struct{}, 1)
 		all.Go(func() { c.run(ctx) })
 	}
 	watched, stop := context.WithCancel(ctx)
@@ -223,6 +228,19 @@
 		return s.recover()
 	case f.Kind == Terminate, f.Kind == Kill:
 		return p.restart(ctx, f)
+	case f.Kind == Late:
+		return p.servers[f.Target].late(func() { p.sleepUntil(ctx, over) })
+	case f.Kind == Lose:
+		p.servers[f.Target].lose(true)
+		p.sleepUntil(ctx, over)
+		p.servers[f.Target].lose(false)
+		return nil
+	case f.Kind == Drop:
+		for at := f.At; at < over; at += dropEvery {
+			p.sleepUntil(ctx, at)
+			p.servers[f.Target].drop()
+		}
+		return nil
 	}
 	n := p.nodes[f.Target%len(p.nodes)]
 	switch f.Kind {
@@ -231,11 +249,15 @@
 		p.sleepUntil(ctx, over)
 		n.signal(syscall.SIGCONT)
 	case Move:
-		n.discovery = p.discovery[1].addr
-		if err := n.configure(); err != nil {
-			return err
+		return n.move(p.discovery[1].addr)
+	case Moves:
+		const moves = 6
+		for i := range moves {
+			if err := n.move(p.discovery[1-i%2].addr); err != nil {
+				return err
+			}
+			p.sleepUntil(ctx, f.At+f.For*time.Duration(i+1)/moves)
 		}
-		n.signal(syscall.SIGHUP)
 	case Replace:
 		return p.replace(ctx, f)
 	case Silence:
@@ -259,6 +281,7 @@
 	n := p.nodes[f.Target%len(p.nodes)]
 	p.history.leaves(n.number)
 	if f.Kind == Terminate {
+		n.leaving <- struct{}{}
 		n.end(killAfter)
 	} else {
 		n.end(0)
@@ -302,21 +325,35 @@
 
 // crowd connects clients to a node that say nothing, or half a request, and stay.
 func (p *play) crowd(ctx context.Context, n *node, f Fault) {
+	var halves sync.WaitGroup
+	defer halves.Wait()
 	for range 150 {
 		nc, err := net.DialTimeout("tcp", n.listen, 100*time.Millisecond)
 		if err != nil {
 			break
 		}
-		if f.Kind == Halves {
-			io.WriteString(nc, "*5\r\n$7\r\nENQ")
-		}
 		p.mu.Lock()
 		p.beside = append(p.beside, nc)
 		p.mu.Unlock()
+		if f.Kind == Halves {
+			if _, err := io.WriteString(nc, "*5\r\n$7\r\nENQ"); err == nil {
+				halves.Go(func() { p.endsHalf(n, nc) })
+			}
+		}
 	}
 	p.sleepUntil(ctx, f.At+f.For)
 }
 
+// endsHalf checks that a client that stopped in the middle of a request gets its error or its close.
+func (p *play) endsHalf(n *node, nc net.Conn) {
+	stopped := p.now()
+	nc.SetReadDeadline(time.Now().Add(halvesWithin + ruleSlack)) // an error says that it is closed
+	_, err := nc.Read(make([]byte, 1))
+	if errors.Is(err, os.ErrDeadlineExceeded) && !p.history.isAway(n.number, stopped, p.now()) {
+		p.history.breach(Answered, "node %d has left half a request of %.3f s without an error or a close", n.number, stopped.Seconds())
+	}
+}
+
 // watch takes notices, and looks after what is overdue and what processes use, until the day is over.
 func (p *play) watch(ctx context.Context) {
 	tick := time.NewTicker(50 * time.Millisecond)
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -36,6 +36,7 @@
 	wanted    bool          // it is to run
 	discovery string
 	lives     int
+	leaving   chan struct{} // holds a token when the process is about to be told to end
 }
 
 // hosts counts the loopback addresses that this process has taken.
@@ -96,6 +97,16 @@
 	return os.Rename(path+".new", path)
 }
 
+// move tells the process by a new configuration where discovery is now.
+func (n *node) move(discovery string) error {
+	n.discovery = discovery
+	if err := n.configure(); err != nil {
+		return err
+	}
+	n.signal(syscall.SIGHUP)
+	return nil
+}
+
 // start starts the process and waits until it takes clients.
 func (n *node) start(ctx context.Context) error {
 	if err := errors.Join(os.MkdirAll(filepath.Join(n.folder, "state"), 0o700), n.configure()); err != nil {
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -30,6 +30,7 @@
 	open    map[net.Conn]bool
 	ill     Kind // while out
 	out     bool
+	losing  bool // its answers
 	fell    bool
 	back    time.Duration // when it came back from its last outage; 0 if it had none
 	told    map[int]bool  // nodes that were told of the outage
@@ -202,6 +203,16 @@
 	if s.fell || !s.out {
 		return nil
 	}
+	if s.ill == Hang || s.ill == Vanish {
+		s.resetAll()
+	}
+	s.out, s.back, s.recent = false, s.play.now(), nil
+	s.tokens, s.at = s.burst(), s.back
+	return s.appear()
+}
+
+// appear undoes vanish, and has the server listen if it does not. The lock is held.
+func (s *server) appear() error {
 	for _, nc := range s.fillers {
 		nc.Close()
 	}
@@ -209,11 +220,6 @@
 		syscall.Close(s.queue)
 		s.queue, s.fillers = -1, nil
 	}
-	if s.ill == Hang || s.ill == Vanish {
-		s.resetAll()
-	}
-	s.out, s.back, s.recent = false, s.play.now(), nil
-	s.tokens, s.at = s.burst(), s.back
 	if len(s.lns) > 0 {
 		return nil
 	}
@@ -225,6 +231,35 @@
 	return nil
 }
 
+// late has connections come up only after a while. Those that stand go on.
+func (s *server) late(wait func()) error {
+	s.mu.Lock()
+	s.unlisten()
+	err := s.vanish()
+	s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appear()
+}
+
+// lose has the server lose its answers, or no more.
+func (s *server) lose(losing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losing = losing
+}
+
+// drop resets all connections.
+func (s *server) drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.resetAll()
+}
+
 // toldNode notes that a node met a failure or a refusal.
 func (s *server) toldNode(node int) {
 	s.mu.Lock()
@@ -310,7 +345,7 @@
 	s.play.history.runs(id, s.number, now)
 	time.Sleep(took) // a server that is at work
 	s.mu.Lock()
-	out := s.out || s.fell
+	out := s.out || s.fell || s.losing
 	s.mu.Unlock()
 	if out {
 		resetConn(nc)
