A message whose record may stand in a failing folder fails, and is not refused

What callers could see: a message is refused, which promises that it does not run, the process is killed, and its next life runs it.

If that fails as well, whole records may stand behind the last good one, and the client was refused all the same.

Change: then its client is told that the message failed, which promises nothing; one who waits for its end likewise.

Result: TestAMessageWhoseRecordCanNotBeCutOffIsNotRefused failed before ("cut false: Refused:true, and the next life has it: true"), and passes.

--- a/delivery/files_test.go
+++ b/delivery/files_test.go
@@ -250,3 +250,79 @@
 		stop()
 	}
 }
+
+// Guards against a promise that a message will not run, when a kill may have the next life find its record.
+func TestAMessageWhoseRecordCanNotBeCutOffIsNotRefused(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		dir := t.TempDir()
+		files := &halfFiles{cuts: cut}
+		cfg := config(dir, at(t, "e", 7))
+		cfg.files = files
+		n, err := Open(cfg, Front{Carrier: newCarrier(pass), Sink: &sink{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.step(t.Context(), n.replayed(), nil)
+		files.down = true
+		a := n.handIn("m", time.Minute)
+		n.take(t.Context(), []any{a})
+		answer := <-a.reply
+		again := openTest(t, copyOf(t, dir), 3)
+		if promised := answer.Refused; promised != cut || (promised && hasLive(again, "m")) {
+			t.Errorf("cut %v: %+v, and the next life has it: %v", cut, answer, hasLive(again, "m"))
+		}
+		files.down = false
+		n.Close()
+	}
+}
+
+// halfFiles, once down, say that writes failed which were done, and cut off what stands behind or not.
+type halfFiles struct {
+	osFiles
+	down, cuts bool
+}
+
+func (s *halfFiles) open(name string, flag int) (journalFile, error) {
+	if s.down {
+		return nil, syscall.EIO
+	}
+	f, err := s.osFiles.open(name, flag)
+	if err != nil {
+		return nil, err
+	}
+	return &halfFile{f, s}, nil
+}
+
+type halfFile struct {
+	journalFile
+	on *halfFiles
+}
+
+func (f *halfFile) WriteAt(b []byte, at int64) (int, error) {
+	n, err := f.journalFile.WriteAt(b, at)
+	if f.on.down {
+		return 0, errors.Join(err, syscall.EIO)
+	}
+	return n, err
+}
+
+func (f *halfFile) Truncate(size int64) error {
+	if f.on.down && !f.on.cuts {
+		return syscall.EIO
+	}
+	return f.journalFile.Truncate(size)
+}
+
+// copyOf is another folder with the journal as it is now.
+func copyOf(t *testing.T, dir string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(dir, journalName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := t.TempDir()
+	if err := os.WriteFile(filepath.Join(other, journalName), text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return other
+}
--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// fail tells all who handed a message in that it failed, with no promise of what became of it.
+func (w newcomers) fail(num uint64, why error) {
+	for _, a := range w[num] {
+		if a.end != nil {
+			a.end <- End{ID: a.ID, State: Failed, Err: why}
+		} else {
+			a.reply <- Answer{Failed: why.Error()}
+		}
+	}
+}
+
 // answer tells whoever handed the message in whether it was taken on. Those who wait for its end are told no more
 // than that it is refused.
 func (a arrival) answer(x Answer) {
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -56,6 +56,8 @@
 var (
 	errDiskBudget  = errors.New("the journal's share of the disk is used up")
 	errJournalDown = errors.New("journal: it could not be written a moment ago")
+	// errMayStand says that a next life may find records that could not be written, and neither be cut off.
+	errMayStand = errors.New("it may be in the journal all the same")
 )
 
 // past is all that the journal knows of a message that still owes something.
@@ -436,7 +438,10 @@
 	if _, err := j.f.WriteAt(j.pending, j.written); err != nil {
 		// Whole records of what is not going to be done must not be found at the next start.
 		j.pending, j.broken = nil, true
-		return fmt.Errorf("journal: %w", errors.Join(err, j.rewind()))
+		if cut := j.rewind(); cut != nil {
+			err = errors.Join(err, cut, errMayStand)
+		}
+		return fmt.Errorf("journal: %w", err)
 	}
 	j.written = after
 	j.tell(j.pending)
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -128,7 +129,12 @@
 		})
 		for num, all := range fresh {
 			n.forget(n.byNumber(num))
-			fresh.reply(num, n.turnAway(all[0], TurnedByDisk))
+			refusal := n.turnAway(all[0], TurnedByDisk)
+			if errors.Is(err, errMayStand) {
+				fresh.fail(num, errMayStand) // a refusal would promise that it does not run
+			} else {
+				fresh.reply(num, refusal)
+			}
 		}
 		fresh = nil
 	}
