--- a/internal/faults/soak/client.go
+++ b/internal/faults/soak/client.go
@@ -129,7 +129,7 @@
 	case strings.HasPrefix(answer, "+"):
 		c.play.history.taken(id)
 	case strings.HasPrefix(answer, "-BUSY"):
-		c.play.history.count(func(n *Counts) { n.Refused++ })
+		c.play.history.refused(id)
 		c.again(ctx, b, answer)
 	default:
 		c.play.history.count(func(n *Counts) { n.Failed++ })
--- a/internal/faults/soak/history.go
+++ b/internal/faults/soak/history.go
@@ -50,6 +50,7 @@
 	key       string
 	due       time.Duration
 	taken     bool // its client has heard that it was taken on
+	refused   bool // its client has heard that it was not, and that coming again is harmless
 	runs      []time.Duration
 	delivered bool
 	ended     string // the state of its notice
@@ -123,6 +124,22 @@
 	h.counts.Taken++
 }
 
+// refused notes that a client has heard that its message was refused.
+func (h *history) refused(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.messages[id].refused = true
+	h.counts.Refused++
+	h.refusedRan(id)
+}
+
+// refusedRan notes the breach of a message that may not be repeated, was refused and runs. The lock is held.
+func (h *history) refusedRan(id string) {
+	if m := h.messages[id]; m.refused && len(m.runs) > 0 && m.class.Effect == AtMostOnce {
+		h.breachLocked(EffectOnce, "message %s was refused and has run", id)
+	}
+}
+
 // runs notes that a server does a message.
 func (h *history) runs(id string, server int, now time.Duration) {
 	h.mu.Lock()
@@ -133,6 +150,7 @@
 		return
 	}
 	m.runs = append(m.runs, now)
+	h.refusedRan(id)
 	if m.ended == "returned" && m.class.Effect == AtMostOnce {
 		h.breachLocked(EffectOnce, "message %s was returned as not done and ran afterwards", id)
 	}
