A message is refused as before where nothing of it stands in the failing folder

The file's size tells: where nothing stands behind the last good record the message is refused, as it was.

--- a/delivery/engine_test.go
+++ b/delivery/engine_test.go
@@ -306,6 +306,17 @@
 	}
 }
 
+// makeReadOnly has a journal find its file as one that can be read and not written.
+func makeReadOnly(t *testing.T, j *journal) {
+	t.Helper()
+	f, err := os.Open(j.path())
+	if err != nil {
+		t.Fatal(err)
+	}
+	j.f.Close()
+	j.f = f
+}
+
 // An id handed in twice at once must not be taken on for the one and refused for the other, nor before it is written.
 func TestOneIDTwiceInABatchHasOneFate(t *testing.T) {
 	for name, c := range map[string]struct {
@@ -319,7 +330,7 @@
 	} {
 		n := bare(t, newCarrier(pass), held())
 		if c.down {
-			n.journal.f.Close()
+			makeReadOnly(t, n.journal)
 		}
 		all := []arrival{n.handIn("a", c.life), n.handIn("a", c.life), n.handIn("a", c.life)}
 		waits := n.handIn("a", c.life) // and one who waits for the end
@@ -789,7 +800,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.journal.f.Close()
+	makeReadOnly(t, n.journal)
 	if err := os.Mkdir(filepath.Join(state, "journal.new"), 0o700); err != nil { // nor can a new one be made
 		t.Fatal(err)
 	}
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -439,7 +439,10 @@
 		// Whole records of what is not going to be done must not be found at the next start.
 		j.pending, j.broken = nil, true
 		if cut := j.rewind(); cut != nil {
-			err = errors.Join(err, cut, errMayStand)
+			err = errors.Join(err, cut)
+			if size, unknown := j.f.Seek(0, io.SeekEnd); unknown != nil || size > j.written {
+				err = errors.Join(err, errMayStand)
+			}
 		}
 		return fmt.Errorf("journal: %w", err)
 	}
