A refusal before a restart counts once an outage could have passed since

Change: a refusal of an earlier life binds when 3 s have gone by since it with no pass, the shortest outage, as a failure does within a life. A pass before that ends it.

--- a/choice/health.go
+++ b/choice/health.go
@@ -173,6 +173,11 @@
 	if e.Health == Recovering && s.now-since > s.cfg.WarmWithin {
 		return
 	}
+	if e.Health == Refusing { // as young as it is now, it may be of a limit that was busy for a moment
+		r.refusedAt, r.refusing, r.bindsAt = since, true, max(e.Since+outage.Shortest, 1)
+		s.noteHealth(r, Healthy, "known before the restart")
+		return
+	}
 	s.enterSlowStart(r)
 	r.struckAt = since
 	if e.Health == Recovering {
@@ -209,7 +214,7 @@
 // refused notes a refusal that no pass has answered yet. Where another one follows after a while the server
 // may be shut, rather than at its limit. A wait that was told is no silence, and a limit that was told to be
 // much lower explains the refusals that follow. The first one slows nothing here; a next life, which can't
-// tell how often the server was met since, takes it for a sign of an outage.
+// tell how often the server was met since, takes it for a sign of an outage once one has its shortest length.
 func (s *Sender) refused(r *route, wait time.Duration) {
 	switch {
 	case r.loweredAt > 0 && s.now-r.loweredAt < s.t.LoweredSpan:
@@ -226,7 +231,7 @@
 // outage can be over. It is not struck: a crowded limit refuses as much. Where there is no limit, the window
 // tells of refusals.
 func (s *Sender) doubt(r *route) {
-	refused := r.shut && !r.unlimited()
+	refused := (r.shut && !r.unlimited()) || (r.bindsAt > 0 && s.now >= r.bindsAt)
 	if r.recovering() || (r.suspectAt == 0 && !refused) || r.gap.PassedSince(s.now-outage.Shortest) {
 		return
 	}
@@ -320,7 +325,7 @@
 		s.failing.Passed()
 	}
 	before := r.health()
-	r.rest, r.fails, r.refusedAt, r.shut, r.refusing = 0, 0, 0, false, false
+	r.rest, r.fails, r.refusedAt, r.shut, r.refusing, r.bindsAt = 0, 0, 0, false, false, 0
 	if gap := seconds(s.now - r.passedAt); gap > 1 {
 		r.busiest = max(r.busiest, r.passed/gap)
 		r.passed, r.passedAt = 0, s.now
--- a/choice/state.go
+++ b/choice/state.go
@@ -129,6 +129,7 @@
 	allowance float64       // with which slow start began
 	refusedAt time.Duration // the first refusal that no pass has answered; 0 for none
 	refusing  bool          // it told no wait
+	bindsAt   time.Duration // from then on a refusal of an earlier life counts as an outage; 0 for never
 	shut      bool          // another one followed after a while
 	sick      bool
 	harmless  bool // the last failure proved that nothing ran
