Silent watches stay open only where a node watches for itself

Cause: where one node's watch serves the others, no more than it is to be open; nodes whose watch falls silent kept it beside the next one. What is lost at discovery's return there is what the other nodes' watches are for.

Change: the silent watch is ended at once where nodes watch for each other, as it was before. Callers of watch say which.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -143,7 +143,7 @@
 	if s.moved && !s.asked {
 		after = 0
 	}
-	watch(ctx, r.log, s.client, s.addr, after, r.nodes, func(l list) error {
+	watch(ctx, r.log, s.client, s.addr, after, r.nodes, r.relay == nil, func(l list) error {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if l.Revision < r.newest && time.Now().Before(s.caughtUp) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -255,7 +255,7 @@
 	defer cancel()
 	var ended sync.WaitGroup
 	ended.Go(func() {
-		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 0, 1, func(list) error { return nil })
+		watch(ctx, slog.New(slog.DiscardHandler), srv.Client(), srv.Listener.Addr().String(), 0, 1, true, func(list) error { return nil })
 	})
 	<-watches
 	if again := <-watches; again > 8*time.Second {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -38,6 +38,7 @@
 	client *http.Client
 	addr   string
 	tell   func(list) error
+	keeps  bool // silent watches stay open
 
 	mu    sync.Mutex
 	after int64      // the revision that was told last
@@ -55,9 +56,10 @@
 }
 
 // watch follows discovery until the context ends, and hands each list on. One that is not taken ends its watch,
-// and is asked for again. All nodes of the fleet ask the same discovery.
-func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, nodes int, tell func(list) error) {
-	w := &watcher{log: log, client: client, addr: addr, after: after, tell: tell}
+// and is asked for again. All nodes of the fleet ask the same discovery. Where nodes watch for each other, keeps is false: as few
+// watches as can be are to be open.
+func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, nodes int, keeps bool, tell func(list) error) {
+	w := &watcher{log: log, client: client, addr: addr, after: after, tell: tell, keeps: keeps}
 	var asking fleet.Asking
 	var open sync.WaitGroup
 	defer open.Wait()
@@ -77,6 +79,10 @@
 		case err = <-ended:
 		case <-o.silence.C:
 			err = errSilent
+			if !w.keeps {
+				end()
+				<-ended
+			}
 		}
 		if o.silence.Stop(); w.hasTold(o) {
 			asking.Told()
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -59,7 +59,7 @@
 			defer cancel()
 			var text bytes.Buffer
 			var told []int64
-			watch(ctx, slog.New(slog.NewTextHandler(&text, nil)), srv.Client(), srv.Listener.Addr().String(), 2, 1, func(l list) error {
+			watch(ctx, slog.New(slog.NewTextHandler(&text, nil)), srv.Client(), srv.Listener.Addr().String(), 2, 1, true, func(l list) error {
 				if told = append(told, l.Revision); l.Revision == 5 {
 					cancel()
 				}
