What a route's refusals say stands in one value that a pass clears

Need: four fields of a route (since when, whether a wait was told, from when one of an earlier life binds, whether another followed) began, counted and ended together, and were cleared one by one.

Change: they are one struct.

--- a/choice/health.go
+++ b/choice/health.go
@@ -53,7 +53,7 @@
 		return Recovering
 	case r.suspectAt > 0:
 		return Suspect
-	case r.refusing:
+	case r.refusals.waitless:
 		return Refusing
 	}
 	return Healthy
@@ -74,7 +74,7 @@
 	case Recovering:
 		change.Since = r.coldFrom
 	case Refusing:
-		change.Since = r.refusedAt
+		change.Since = r.refusals.since
 	}
 	if r.fails > 0 {
 		change.Failing = s.now - r.failedAt
@@ -174,7 +174,7 @@
 		return
 	}
 	if e.Health == Refusing { // as young as it is now, it may be of a limit that was busy for a moment
-		r.refusedAt, r.refusing, r.bindsAt = since, true, max(e.Since+outage.Shortest, 1)
+		r.refusals = refusals{since: since, waitless: true, bindAt: max(e.Since+outage.Shortest, 1)}
 		s.noteHealth(r, Healthy, "known before the restart")
 		return
 	}
@@ -218,12 +218,12 @@
 func (s *Sender) refused(r *route, wait time.Duration) {
 	switch {
 	case r.loweredAt > 0 && s.now-r.loweredAt < s.t.LoweredSpan:
-	case r.refusedAt == 0:
+	case r.refusals.since == 0:
 		before := r.health()
-		r.refusedAt, r.refusing = s.now+wait, wait == 0
+		r.refusals = refusals{since: s.now + wait, waitless: wait == 0}
 		s.noteHealth(r, before, "a call was refused")
-	case s.now-r.refusedAt >= s.t.RefusedSpan:
-		r.shut = true
+	case s.now-r.refusals.since >= s.t.RefusedSpan:
+		r.refusals.shut = true
 	}
 }
 
@@ -231,7 +231,8 @@
 // outage can be over. It is not struck: a crowded limit refuses as much. Where there is no limit, the window
 // tells of refusals.
 func (s *Sender) doubt(r *route) {
-	refused := (r.shut && !r.unlimited()) || (r.bindsAt > 0 && s.now >= r.bindsAt)
+	told := r.refusals
+	refused := (told.shut && !r.unlimited()) || (told.bindAt > 0 && s.now >= told.bindAt)
 	if r.recovering() || (r.suspectAt == 0 && !refused) || r.gap.PassedSince(s.now-outage.Shortest) {
 		return
 	}
@@ -239,7 +240,7 @@
 	r.doubted = true
 	s.enterSlowStart(r)
 	if r.suspectAt == 0 {
-		r.suspectAt = r.refusedAt
+		r.suspectAt = told.since
 	} else if !r.tried { // a single call may follow a failure at once, to tell an error from an outage
 		r.retry, r.tokens = true, 1
 	}
@@ -325,7 +326,7 @@
 		s.failing.Passed()
 	}
 	before := r.health()
-	r.rest, r.fails, r.refusedAt, r.shut, r.refusing, r.bindsAt = 0, 0, 0, false, false, 0
+	r.rest, r.fails, r.refusals = 0, 0, refusals{}
 	if gap := seconds(s.now - r.passedAt); gap > 1 {
 		r.busiest = max(r.busiest, r.passed/gap)
 		r.passed, r.passedAt = 0, s.now
--- a/choice/state.go
+++ b/choice/state.go
@@ -102,6 +102,14 @@
 	seen, shut        bool
 }
 
+// refusals are those of a route that no pass has answered.
+type refusals struct {
+	since    time.Duration // the first of them; 0 for none
+	waitless bool          // it told no wait
+	bindAt   time.Duration // from then on one of an earlier life counts as an outage; 0 for never
+	shut     bool          // another one followed after a while
+}
+
 // route is what limits, waits and outages bind: a destination, or an endpoint that is a route apart.
 type route struct {
 	dest      int
@@ -127,10 +135,7 @@
 	tried     bool          // a call has gone out since that failure
 	retry     bool          // the call that may follow a failure at once is not yet spent
 	allowance float64       // with which slow start began
-	refusedAt time.Duration // the first refusal that no pass has answered; 0 for none
-	refusing  bool          // it told no wait
-	bindsAt   time.Duration // from then on a refusal of an earlier life counts as an outage; 0 for never
-	shut      bool          // another one followed after a while
+	refusals  refusals
 	sick      bool
 	harmless  bool // the last failure proved that nothing ran
 	trialAt   time.Duration
