One figure of the slow-start budget for the laboratory's check and the soak's

Need: both checks had the operators' figures written out. Change: the soak calls model.SlowStartBudget. The decisions keep their own, so that a check does not follow them.

--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -126,14 +126,6 @@
 	journaledWithin = 500 * time.Millisecond  // of a node's reading it, on a busy machine, a wait outlasts the node's process
 )
 
-// budget is how many calls a cold server bears within fallSpan that could do n of them.
-func budget(n float64) float64 {
-	if n < 30 {
-		return n + 3*math.Sqrt(n) + 3
-	}
-	return n + 2*math.Sqrt(n) + 2
-}
-
 // Draw draws a day of so many nodes and servers, without faults.
 func Draw(seed uint64, nodes, servers int, rate float64, length time.Duration) *Day {
 	rng := rand.New(rand.NewPCG(seed, 1))
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"starlingusher/lab/model"
 )
 
 // server is a destination's process: a listener, a limit, slow start after an outage, and a budget of calls in it.
@@ -407,7 +409,7 @@
 			l.Told++
 		}
 	}
-	l.Budget = budget(fallMultiple * s.Limit * warm * fallSpan.Seconds())
+	l.Budget = model.SlowStartBudget(fallMultiple * s.Limit * warm * fallSpan.Seconds())
 	counts := float64(l.Told) > 2.0/3*float64(l.Calls)
 	if counts && l.ratio() > s.worst.ratio() {
 		s.worst = l
--- a/lab/model/partner.go
+++ b/lab/model/partner.go
@@ -284,7 +284,7 @@
 			knowing += l.work
 		}
 	}
-	stands := budget(rules.FallMultiple * p.capacity() * p.warmth(r.now, rules) * rules.Fall.Seconds())
+	stands := SlowStartBudget(rules.FallMultiple * p.capacity() * p.warmth(r.now, rules) * rules.Fall.Seconds())
 	times := sum / stands
 	counts := knowing > sum*2/3
 	if counts {
@@ -299,8 +299,8 @@
 	}
 }
 
-// budget is how much work a cold partner bears within the time of the rules, of which it can do n calls: the operators' figures.
-func budget(n float64) float64 {
+// SlowStartBudget is how many calls a cold partner bears within the time of the rules, of which it can do n: the operators' figures.
+func SlowStartBudget(n float64) float64 {
 	if n < 30 {
 		return n + 3*math.Sqrt(n) + 3
 	}
