What tells of a short machine is one list, from which dials and starts take it

Need: a start used the list of dials and took one error out of it again. Change: the shortages are the list; a dial adds the port that it may lack, a start adds EIO and EINTR. The two clients of discovery are made by one function. Behaviour is unchanged: package node passes.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -39,9 +40,11 @@
 }
 
 func newSite(addr string) *site {
+	client := func(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
+		return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: dial}}
+	}
 	s := &site{addr: addr, spare: newSpareDialer(addr)}
-	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}
-	s.notices = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: s.spare.dial}}
+	s.client, s.notices = client(nil), client(s.spare.dial)
 	s.left, s.leave = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -15,19 +16,17 @@
 	lastRedial  = 100 * time.Millisecond
 )
 
-// localFailures are errors of a dial that tell of this machine alone: no descriptor, no memory for buffers, no port.
-var localFailures = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN}
+// shortages are errors that tell of this machine alone: no descriptor, or no memory for buffers.
+var shortages = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN}
 
-// isLocalFailure tells that a dial failed by this machine and says nothing of the server.
-func isLocalFailure(err error) bool {
-	for _, local := range localFailures {
-		if errors.Is(err, local) {
-			return true
-		}
-	}
-	return false
+func isShortage(err error) bool {
+	return slices.ContainsFunc(shortages, func(one error) bool { return errors.Is(err, one) })
 }
 
+// isLocalFailure tells that a dial failed by this machine, which has no port left or is short of something, and says nothing of the
+// server.
+func isLocalFailure(err error) bool { return isShortage(err) || errors.Is(err, syscall.EADDRNOTAVAIL) }
+
 // errNoLocal is of a dial that this machine could not make before its time was over.
 var errNoLocal = errors.New("this machine can make no connection")
 
@@ -54,8 +53,8 @@
 func whenAble(do func() error) error {
 	for end := time.Now().Add(localPatience); ; time.Sleep(localPause) {
 		err := do()
-		lacks := isLocalFailure(err) || errors.Is(err, syscall.EIO) || errors.Is(err, syscall.EINTR)
-		if err == nil || !lacks || errors.Is(err, syscall.EADDRNOTAVAIL) || time.Now().After(end) {
+		passing := isShortage(err) || errors.Is(err, syscall.EIO) || errors.Is(err, syscall.EINTR)
+		if !passing || time.Now().After(end) {
 			return err
 		}
 	}
