--- a/internal/faults/calls.go
+++ b/internal/faults/calls.go
@@ -123,59 +123,58 @@
 	return rigTrueConnect(s, addr, addrlen)
 }
 
-func read(fd int, p []byte) (int, error) {
-	if len(p) > 0 && rigSeldom() && rigIs(fd, S_IFSOCK) {
-		switch rigDraw(3) {
-		case 0:
-			return -1, EINTR
-		case 1:
-			return rigTrueRead(fd, p[:1])
-		}
-		rigReset(fd)
-		return -1, rigOneOf(ETIMEDOUT, EHOSTUNREACH, ECONNRESET, ENETUNREACH)
+// rigOnSocket does a call on a socket, seldom not at all or for one byte.
+func rigOnSocket(fd int, p []byte, do func(int, []byte) (int, error), fatal ...Errno) (int, error) {
+	if len(p) == 0 || !rigSeldom() || !rigIs(fd, S_IFSOCK) {
+		return do(fd, p)
 	}
-	return rigTrueRead(fd, p)
+	switch rigDraw(3) {
+	case 0:
+		return -1, EINTR
+	case 1:
+		return do(fd, p[:1])
+	}
+	rigReset(fd)
+	return -1, rigOneOf(fatal...)
 }
 
-func write(fd int, p []byte) (int, error) {
-	if rigFolderFails() && rigIs(fd, S_IFREG) {
-		if half := len(p) / 2; half > 0 && rigDraw(2) == 0 {
-			rigTrueWrite(fd, p[:half])
-		}
-		return -1, rigDiskError()
+func rigFileFails(fd int) bool { return rigFolderFails() && rigIs(fd, S_IFREG) }
+
+// rigHalfWrite fails a write to a file, with half of it done or none.
+func rigHalfWrite(p []byte, do func([]byte) (int, error)) (int, error) {
+	if half := len(p) / 2; half > 0 && rigDraw(2) == 0 {
+		do(p[:half])
 	}
-	if len(p) > 0 && rigSeldom() && rigIs(fd, S_IFSOCK) {
-		switch rigDraw(3) {
-		case 0:
-			return -1, EINTR
-		case 1:
-			return rigTrueWrite(fd, p[:1])
-		}
-		rigReset(fd)
-		return -1, rigOneOf(ETIMEDOUT, EHOSTUNREACH, ECONNRESET, EPIPE)
+	return -1, rigDiskError()
+}
+
+func read(fd int, p []byte) (int, error) {
+	return rigOnSocket(fd, p, rigTrueRead, ETIMEDOUT, EHOSTUNREACH, ECONNRESET, ENETUNREACH)
+}
+
+func write(fd int, p []byte) (int, error) {
+	if rigFileFails(fd) {
+		return rigHalfWrite(p, func(half []byte) (int, error) { return rigTrueWrite(fd, half) })
 	}
-	return rigTrueWrite(fd, p)
+	return rigOnSocket(fd, p, rigTrueWrite, ETIMEDOUT, EHOSTUNREACH, ECONNRESET, EPIPE)
 }
 
 func pwrite(fd int, p []byte, offset int64) (int, error) {
-	if rigFolderFails() && rigIs(fd, S_IFREG) {
-		if half := len(p) / 2; half > 0 && rigDraw(2) == 0 {
-			rigTruePwrite(fd, p[:half], offset)
-		}
-		return -1, rigDiskError()
+	if rigFileFails(fd) {
+		return rigHalfWrite(p, func(half []byte) (int, error) { return rigTruePwrite(fd, half, offset) })
 	}
 	return rigTruePwrite(fd, p, offset)
 }
 
 func Ftruncate(fd int, length int64) error {
-	if rigFolderFails() && rigIs(fd, S_IFREG) {
+	if rigFileFails(fd) {
 		return rigDiskError()
 	}
 	return rigTrueFtruncate(fd, length)
 }
 
 func Fsync(fd int) error {
-	if rigFolderFails() && rigIs(fd, S_IFREG) {
+	if rigFileFails(fd) {
 		return rigDiskError()
 	}
 	return rigTrueFsync(fd)
