Soak: a request that crosses its node's SIGKILL is not counted as dropped by the node

Cause: the rig noted the kill as one moment before the signal was sent, and excused only requests handed in before that moment. What was handed in between the note and the death of the process was taken for dropped.

The messages in quick succession that were handed in round each SIGTERM are handed in round each SIGKILL as well, which crosses it more often.

--- a/internal/faults/soak/client.go
+++ b/internal/faults/soak/client.go
@@ -73,12 +73,17 @@
 	}
 }
 
-// burst hands messages in at short intervals while the node is told to end, so that some cross its closes.
+// The messages that are handed in round the end of a node's process.
+const (
+	burstEvery  = 5 * time.Millisecond
+	burstLength = 200 * time.Millisecond
+)
+
+// burst hands messages in at short intervals while the node is told to end or killed, so that some cross its closes.
 func (c *clients) burst(ctx context.Context) {
-	const messages, every = 40, 5 * time.Millisecond
 	began := c.play.now()
-	for i := range messages {
-		if !c.play.sleepUntil(ctx, began+time.Duration(i)*every) {
+	for at := time.Duration(0); at < burstLength; at += burstEvery {
+		if !c.play.sleepUntil(ctx, began+at) {
 			return
 		}
 		b := c.draw()
--- a/internal/faults/soak/history.go
+++ b/internal/faults/soak/history.go
@@ -88,6 +88,11 @@
 	from, to time.Duration // to is 0 while it lasts
 }
 
+// touches tells whether a span of a node has a moment in common with the time from one moment to another.
+func (s span) touches(node int, from, to time.Duration) bool {
+	return s.node == node && s.from <= to && (s.to == 0 || s.to >= from)
+}
+
 func newHistory(p *play) *history {
 	return &history{play: p, messages: map[string]*message{}, keys: map[string][]time.Duration{}, waiting: map[[2]int]wait{}, absent: map[int]bool{}, drains: map[string]time.Duration{}}
 }
@@ -280,9 +285,7 @@
 func (h *history) isAway(node int, from, to time.Duration) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return slices.ContainsFunc(h.away, func(s span) bool {
-		return s.node == node && s.from <= to && (s.to == 0 || s.to >= from)
-	})
+	return slices.ContainsFunc(h.away, func(s span) bool { return s.touches(node, from, to) })
 }
 
 // overdue notes the messages that have had no end in their time.
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -36,7 +36,7 @@
 	wanted    bool          // it is to run
 	discovery string
 	lives     int
-	leaving   chan struct{} // holds a token when the process is about to be told to end
+	leaving   chan struct{} // holds a token when the process is about to be told to end, or killed
 }
 
 // hosts counts the loopback addresses that this process has taken.
@@ -265,9 +265,10 @@
 	select {
 	case <-done:
 	default:
-		n.play.kills(n.number)
+		ended := n.play.kills(n.number)
 		n.signal(syscall.SIGKILL)
 		<-done
+		ended()
 	}
 	n.play.history.gone(n.number)
 	n.mu.Lock()
