A watch has a connection in reserve, and is dialled again at once in a shortage

What callers could see: a draining endpoint goes on being called. A watch that broke while this machine had no descriptor, port or buffer was dialled again only after the pause for a discovery that does not answer, up to 3.5 s in a fleet of 35 and more, longer at the second try; until then nothing of a drain was heard, whose grace is 250 ms.

Cause: a dial that failed by this machine counted as a call that discovery had not answered, and the connection in reserve was the notices' alone.

Change: the watch has a connection in reserve as well, which is taken when none can be made. A dial that reached nobody (no descriptor, buffer or port, no route, a network that is down) is made again within 100 ms: it adds nothing to what discovery has to do.

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -32,6 +31,7 @@
 	client   *http.Client // of the watch
 	notices  *http.Client
 	spare    *spareDialer // of notices: each of them has a time
+	watches  *spareDialer // of the watch: what it is told binds at once
 	moved    bool         // there was another one before
 	asked    bool         // it has told this node something; only kept where there is a relay
 	caughtUp time.Time    // until then a list may be older than what the one before has told
@@ -40,15 +40,18 @@
 }
 
 func newSite(addr string) *site {
-	client := func(dial func(ctx context.Context, network, addr string) (net.Conn, error)) *http.Client {
-		return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: dial}}
+	s := &site{addr: addr, spare: newSpareDialer(addr), watches: newSpareDialer(addr)}
+	client := func(d *spareDialer) *http.Client {
+		return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: d.dial}}
 	}
-	s := &site{addr: addr, spare: newSpareDialer(addr)}
-	s.client, s.notices = client(nil), client(s.spare.dial)
+	s.client, s.notices = client(s.watches), client(s.spare)
 	s.left, s.leave = context.WithCancel(context.Background())
 	return s
 }
 
+// dialWith has connections to discovery made by another function. It is called before the site is used.
+func (s *site) dialWith(connect connectFunc) { s.spare.connect, s.watches.connect = connect, connect }
+
 // Relay has one node's watch of discovery serve others. Its methods may be called by many goroutines at a time.
 type Relay interface {
 	// Moves tells where discovery is.
@@ -109,6 +112,7 @@
 	for ctx.Err() == nil {
 		s, here, leave := a.at(ctx)
 		beside.Go(func() { s.spare.run(here) })
+		beside.Go(func() { s.watches.run(here) })
 		if a.relay == nil {
 			r.watch(here, s)
 		} else {
--- a/internal/node/asking_test.go
+++ b/internal/node/asking_test.go
@@ -38,7 +38,7 @@
 		began, asked := time.Now(), make(chan time.Duration, 9)
 		known := list{Revision: 3, Members: []member{{ID: "e", Addr: "e", Phase: "SERVING"}}}
 		a := newAgent("discovery:1", known, 300, wire.Names{}, slog.New(slog.DiscardHandler))
-		a.site.spare.connect = noConnection
+		a.site.dialWith(noConnection)
 		a.site.client.Transport = trips(func(r *http.Request) (*http.Response, error) {
 			asked <- time.Since(began)
 			silent, w := io.Pipe() // after one line
--- a/internal/node/local.go
+++ b/internal/node/local.go
@@ -27,6 +27,18 @@
 // server.
 func isLocalFailure(err error) bool { return isShortage(err) || errors.Is(err, syscall.EADDRNOTAVAIL) }
 
+// unreachable are errors of a dial that met nothing that could answer it.
+var unreachable = []error{syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN, syscall.ETIMEDOUT}
+
+// hasReachedNobody tells that an error is of a dial that no server could notice: it failed by this machine, or on the way.
+func hasReachedNobody(err error) bool {
+	var failed *net.OpError
+	if !errors.As(err, &failed) || failed.Op != "dial" {
+		return false
+	}
+	return isLocalFailure(err) || slices.ContainsFunc(unreachable, func(one error) bool { return errors.Is(err, one) })
+}
+
 // errNoLocal is of a dial that this machine could not make before its time was over.
 var errNoLocal = errors.New("this machine can make no connection")
 
--- a/internal/node/spare.go
+++ b/internal/node/spare.go
@@ -6,11 +6,14 @@
 	"sync"
 )
 
+// connectFunc makes a connection, as net.Dialer.DialContext does.
+type connectFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // spareDialer dials one address and keeps one connection in reserve, for a time in which this machine can make none. Its methods may
 // be called by many goroutines at a time.
 type spareDialer struct {
 	addr    string
-	connect func(ctx context.Context, network, addr string) (net.Conn, error)
+	connect connectFunc
 	wanted  chan struct{} // holds a token when there may be no spare connection
 
 	mu    sync.Mutex
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -95,8 +95,12 @@
 	}
 }
 
-// pause is the time until the next watch is opened after one has ended with an error.
+// pause is the time until the next watch is opened after one has ended with an error. A dial that has reached nobody adds nothing to
+// what discovery has to do.
 func (w *watcher) pause(o *openWatch, err error, asking *fleet.Asking, nodes int) time.Duration {
+	if hasReachedNobody(err) {
+		return rand.N(longestRewatch)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if o.heard && err != errSilent && !errors.Is(err, errBehind) && time.Since(o.began) >= watchStood {
--- a/internal/node/watch_return_test.go
+++ b/internal/node/watch_return_test.go
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
 		a := newAgent("discovery:1", list{Revision: 3}, 300, wire.Names{}, slog.New(slog.DiscardHandler))
-		a.site.spare.connect = noConnection
+		a.site.dialWith(noConnection)
 		returned := make(chan struct{}) // discovery is silent until then
 		a.site.client.Transport = trips(func(r *http.Request) (*http.Response, error) {
 			body, w := io.Pipe()
@@ -59,7 +59,7 @@
 func TestAWatchThatBreaksIsOpenedAgainBeforeADrainBinds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := newAgent("discovery:1", list{Revision: 3}, 300, wire.Names{}, slog.New(slog.DiscardHandler))
-		a.site.spare.connect = noConnection
+		a.site.dialWith(noConnection)
 		asked, broke := make(chan time.Time, 99), make(chan time.Time, 99)
 		a.site.client.Transport = trips(func(r *http.Request) (*http.Response, error) {
 			asked <- time.Now()
