A silent watch outlasts tries that fail, and is replaced at once when it breaks

What callers could see: an endpoint that began to drain while discovery was silent goes on being called for up to 3.5 s after discovery's return.

Cause: a watch that has gone silent stays open, so that what discovery tells at its return is heard at once. It was ended, though, by the second try after it even where the first try had failed and nothing else was open; and where it broke by itself during the pause before the next try, nobody noticed before the pause was over.

Change: a watch that has ended leaves its place to the one before it, and the pause ends within 100 ms of when the last watch that stands breaks.

Evidence: TestASilentWatchOutlastsTriesThatFail and TestASilentWatchThatBreaksIsOpened- AgainInTheGraceOfADrain failed before (the latter at once, in a pause drawn from 0 to 3.5 s) and pass.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -52,7 +52,9 @@
 	end     context.CancelFunc
 	before  *openWatch // that this one takes the place of, until it has heard something
 	heard   bool
-	told    bool // of members
+	told    bool          // of members
+	done    chan struct{} // closed when it has ended,
+	err     error         // for this reason
 }
 
 // watch follows discovery until the context ends, and hands each list on. One that is not taken ends its watch,
@@ -69,19 +71,22 @@
 		o := w.open()
 		own, end := context.WithCancel(ctx)
 		o.end = end
-		ended := make(chan error, 1)
 		open.Go(func() {
+			defer close(o.done)
 			defer end()
-			ended <- w.follow(own, o)
+			o.err = w.follow(own, o)
 		})
 		var err error
 		select {
-		case err = <-ended:
+		case <-o.done:
+			err = o.err
+			w.ended(o)
 		case <-o.silence.C:
 			err = errSilent
 			if !w.keeps {
 				end()
-				<-ended
+				<-o.done
+				w.ended(o)
 			}
 		}
 		if o.silence.Stop(); w.hasTold(o) {
@@ -90,11 +95,38 @@
 		if ctx.Err() == nil {
 			pause := w.pause(o, err, &asking, nodes)
 			log.Info("watch ended", "discovery", addr, "after", w.revision(), "err", err, "again_in", pause)
-			sleep(ctx, pause)
+			w.rest(ctx, pause)
 		}
 	}
 }
 
+// rest waits until the next watch is to be opened: for a pause, or for a short one from when the last watch that stands breaks.
+func (w *watcher) rest(ctx context.Context, pause time.Duration) {
+	w.mu.Lock()
+	last := w.last
+	w.mu.Unlock()
+	var broken chan struct{}
+	if last != nil {
+		broken = last.done
+	}
+	over := time.NewTimer(pause)
+	defer over.Stop()
+	select {
+	case <-ctx.Done():
+	case <-over.C:
+	case <-broken:
+		w.ended(last)
+		sleep(ctx, min(pause, rand.N(longestRewatch)))
+	}
+}
+
+// ended notes that the last watch has ended. The one before it, if there is one, is the last again.
+func (w *watcher) ended(o *openWatch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last, o.before = o.before, nil
+}
+
 // pause is the time until the next watch is opened after one has ended with an error. A dial that has reached nobody adds nothing to
 // what discovery has to do.
 func (w *watcher) pause(o *openWatch, err error, asking *fleet.Asking, nodes int) time.Duration {
@@ -113,7 +145,7 @@
 func (w *watcher) open() *openWatch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	o := &openWatch{began: time.Now(), silence: time.NewTimer(watchSilence), before: w.last}
+	o := &openWatch{began: time.Now(), silence: time.NewTimer(watchSilence), before: w.last, done: make(chan struct{})}
 	if o.before != nil {
 		o.before.endBefore()
 	}
--- a/internal/node/watch_short_test.go
+++ b/internal/node/watch_short_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -103,3 +104,75 @@
 		}
 	})
 }
+
+// Guards against ending the watch that stands, but is silent, for one that could not be opened.
+func TestASilentWatchOutlastsTriesThatFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newAgent("discovery:1", list{Revision: 3}, 300, wire.Names{}, slog.New(slog.DiscardHandler))
+		a.site.dialWith(noConnection)
+		returned := make(chan struct{})
+		var tries atomic.Int32
+		a.site.client.Transport = trips(func(r *http.Request) (*http.Response, error) {
+			if tries.Add(1) > 1 {
+				return nil, net.ErrClosed
+			}
+			body, w := io.Pipe()
+			go func() {
+				select {
+				case <-returned:
+					io.WriteString(w, `{"revision":4,"complete":false,"members":[{"id":"e","host_port":"e","phase":"DRAINING"}]}`+"\n")
+				case <-r.Context().Done():
+				}
+				<-r.Context().Done()
+				w.CloseWithError(r.Context().Err())
+			}()
+			return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
+		})
+		heard := follow(t, a)
+		time.Sleep(30 * time.Second)
+		close(returned)
+		select {
+		case <-heard:
+		case <-time.After(drainGrace):
+			t.Errorf("the drain was not heard in its grace, after %d tries", tries.Load())
+		}
+	})
+}
+
+// Guards against a drain that is told at discovery's return and missed since the watch that was silent breaks over it.
+func TestASilentWatchThatBreaksIsOpenedAgainInTheGraceOfADrain(t *testing.T) {
+	for range 10 { // pauses are drawn
+		synctest.Test(t, func(t *testing.T) {
+			a := newAgent("discovery:1", list{Revision: 3}, 300, wire.Names{}, slog.New(slog.DiscardHandler))
+			a.site.dialWith(noConnection)
+			returned := make(chan struct{})
+			var tries atomic.Int32
+			a.site.client.Transport = trips(func(r *http.Request) (*http.Response, error) {
+				body, w := io.Pipe()
+				first := tries.Add(1) == 1
+				go func() {
+					select {
+					case <-returned:
+						if first {
+							w.CloseWithError(syscall.ETIMEDOUT)
+							return
+						}
+						io.WriteString(w, `{"revision":4,"complete":false,"members":[{"id":"e","host_port":"e","phase":"DRAINING"}]}`+"\n")
+					case <-r.Context().Done():
+					}
+					<-r.Context().Done()
+					w.CloseWithError(r.Context().Err())
+				}()
+				return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
+			})
+			heard := follow(t, a)
+			time.Sleep(watchSilence + time.Millisecond) // the first watch has been given up just before
+			close(returned)
+			select {
+			case <-heard:
+			case <-time.After(drainGrace):
+				t.Errorf("the drain was not heard in its grace, after %d tries", tries.Load())
+			}
+		})
+	}
+}
