An undelivered message is not left for good by a round with an old clock

Cause: a round of the service reads its clock, then waits for the lock of the store's writes, then scans. An entry that was written in that wait has an attempt later than the round's clock, which is taken for a clock that was set back: a person has to decide. No scan is due any more, so nobody looked at it again.

Evidence: state of a failing process: nothing queued, nothing under way, nothing due, last scan begun 0.05 to 0.07 s after the ends of the entries left over, their last attempts 0.13 s before it.

Change: the round's clock is read after the lock. An entry whose attempt lies ahead of the clock is looked at again when the clock has passed it, which mends a clock that was really set back as well: it waited for a person until something else had the store scanned.

TestJudge expects the time to look again where it expected none. The kill test has an address of its own process's (copies met on one port), and prints what is left and what the node's goroutines do.

--- a/cmd/coralyard/kill_test.go
+++ b/cmd/coralyard/kill_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -43,6 +44,9 @@
     tries: 100
 `
 
+// sites counts the sites of this process.
+var sites atomic.Int64
+
 // site is a node's surroundings, which outlast its processes: folder, discovery and a bank of some branches.
 type site struct {
 	t         *testing.T
@@ -77,7 +81,8 @@
 			ID: fmt.Sprint("branch-", i), Addr: b.Addr(), Zone: "a", Kind: "plain", Dest: i, Phase: "SERVING", Size: 1000,
 		})
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// On an address of this process's own, no other takes the port while no node runs.
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, os.Getpid()/128%250, 1+sites.Add(1)%250))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -275,17 +280,17 @@
 		b.Do(nil)
 	}
 	node := s.start()
-	settled := func() (left int, rows map[string][]recovery.Row) {
+	settled := func() (left []string, rows map[string][]recovery.Row) {
 		rows = map[string][]recovery.Row{}
 		c, err := recovery.Dial(s.dir)
 		if err != nil {
-			return 1, rows // not yet serving
+			return []string{"not yet serving"}, rows
 		}
 		defer c.Close()
 		if err := c.List(t.Context(), recovery.Filter{}, func(row recovery.Row) error {
 			rows[row.ID] = append(rows[row.ID], row)
 			if row.State == undelivered.Out || row.Waits == recovery.ForRule {
-				left++
+				left = append(left, fmt.Sprintf("%s: %+v", row.ID, row))
 			}
 			return nil
 		}); err != nil {
@@ -311,18 +316,19 @@
 		runs, told := s.ledger.Runs(), states()
 		for id := range taken {
 			if runs[id] == 0 && told[id] == nil && rows[id] == nil {
-				left++
+				left = append(left, id+": never ran, has no notice and no entry")
 			}
 			if told[id]["failed"] && rows[id] == nil {
-				left++
+				left = append(left, fmt.Sprintf("%s: failed with no entry; it ran %d times", id, runs[id]))
 			}
 		}
-		if left == 0 {
+		if len(left) == 0 {
 			break
 		}
 		if time.Now().After(end) {
-			node.kill()
-			t.Fatalf("%d messages have no end:\n%s", left, node.log.String())
+			node.Process.Signal(syscall.SIGQUIT) // what its goroutines do goes to the log
+			node.Wait()
+			t.Fatalf("%d messages have no end:\n%s\n%s", len(left), strings.Join(left, "\n"), node.log.String())
 		}
 	}
 	node.Process.Signal(syscall.SIGTERM)
--- a/undelivered/recovery/recovery_test.go
+++ b/undelivered/recovery/recovery_test.go
@@ -420,6 +420,18 @@
 	r.entry("o", "delivered", is(undelivered.Delivered))
 }
 
+// Guards against an entry that is never looked at again since a round's clock stood before its last attempt.
+func TestAnEntryIsSentOnceTheClockHasPassedItsLastAttempt(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, silent)
+	r.clock.move(-2 * time.Second)
+	r.hand("o", order)
+	r.entry("o", "waiting for a person", func(row Row) bool { return row.Waits == ForPerson })
+	r.bank.set(pass)
+	r.clock.move(2 * time.Second)
+	r.entry("o", "delivered", is(undelivered.Delivered))
+}
+
 func TestRulesThatAreNotTaken(t *testing.T) {
 	t.Parallel()
 	r := newRig(t, silent)
--- a/undelivered/recovery/schedule.go
+++ b/undelivered/recovery/schedule.go
@@ -28,14 +28,14 @@
 
 // round sends what may be sent now, and returns for how long to sleep.
 func (s *Service) round() time.Duration {
-	now := s.o.Now()
-	s.expire(now)
+	s.expire(s.o.Now())
 	nap := longestNap
 	s.writing.Lock()
 	if s.rewrite() != nil {
 		nap = rewriteNap
 	}
 	s.writing.Unlock()
+	now := s.o.Now() // what was written meanwhile is not later
 	sooner := func(at time.Time) {
 		if !at.IsZero() {
 			nap = min(nap, max(at.Sub(now), 0))
--- a/undelivered/rules/rules.go
+++ b/undelivered/rules/rules.go
@@ -120,7 +120,7 @@
 		end := first.At.Add(e.Class.Window - windowMargin)
 		switch {
 		case now.Before(last.At):
-			return Person, time.Time{}, "the clock stands before an attempt that was made"
+			return Person, last.At, "the clock stands before an attempt that was made"
 		case !now.Before(end):
 			return Person, time.Time{}, "the destination may have forgotten its key"
 		}
@@ -189,7 +189,7 @@
 type Verdict struct {
 	Send   bool
 	Person bool      // waits for a person
-	At     time.Time // neither: when to look again; the zero time for never, unless the rules change
+	At     time.Time // not Send: when to look again; the zero time for never, unless the rules change
 	Why    string
 	Line   int // of the rule, 0 for none
 }
@@ -207,7 +207,7 @@
 	case Settled:
 		return Verdict{Why: why}
 	case Person:
-		return Verdict{Person: true, Why: why}
+		return Verdict{Person: true, At: until, Why: why}
 	}
 	for i := range s.Rules {
 		r := &s.Rules[i]
--- a/undelivered/rules/rules_test.go
+++ b/undelivered/rules/rules_test.go
@@ -84,7 +84,7 @@
 		"keyed, window over":              {Entry{Class: order, First: noon.Add(-3 * time.Second), Ended: noon.Add(-3 * time.Second), Attempts: ran}, time.Time{}, noon, false, true, time.Time{}, 0},
 		"keyed, window over by the pause": {Entry{Class: order, First: noon, Ended: noon, Attempts: []Attempt{{At: noon.Add(-9 * time.Second)}}}, time.Time{}, noon, false, true, time.Time{}, 7},
 		"keyed, never ran":                {Entry{Class: order, First: noon.Add(-time.Hour), Ended: noon.Add(-time.Hour), Attempts: not}, time.Time{}, noon, true, false, time.Time{}, 7},
-		"keyed, the clock stepped back":   {Entry{Class: order, First: noon, Ended: noon, Attempts: fresh}, time.Time{}, noon.Add(-time.Hour), false, true, time.Time{}, 0},
+		"keyed, the clock stepped back":   {Entry{Class: order, First: noon, Ended: noon, Attempts: fresh}, time.Time{}, noon.Add(-time.Hour), false, true, noon.Add(-5 * time.Second), 0},
 		"safe, the clock stepped back":    {Entry{Class: status, First: noon, Ended: noon, Attempts: ran}, time.Time{}, noon.Add(-time.Hour), false, false, noon.Add(-time.Hour + 30*time.Second), 11},
 		"quiet hours, one after another":  {Entry{Class: status, First: night.Add(-time.Hour), Ended: night.Add(-time.Hour)}, time.Time{}, night, false, false, time.Date(2026, 12, 2, 8, 0, 0, 0, set.Zone), 11},
 	} {
