Soak: a wait told over a connection that had broken before binds nobody

Cause, by the node's log: its read of the answer had failed (network is unreachable, after 0.1 ms) and the connection was reset before the server came to the request; the log line that frees the node from the wait had been read before the server noted the wait.

Change: a server whose answer can't be written takes the wait back. An answer that was written and not read is taken back by the node's log, as before.

--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -337,6 +337,9 @@
 		s.mu.Unlock()
 		s.play.history.waits(now, node, s.number, id, wait)
 		_, err := fmt.Fprintf(nc, "HTTP/1.1 429 Limit\r\n%sRetry-After: %.3f\r\nContent-Length: 0\r\n\r\n", s.report(), wait.Seconds())
+		if err != nil { // the connection broke before
+			s.play.history.unheard(node, s.number, id)
+		}
 		return err == nil
 	}
 	s.tokens--
--- a/internal/faults/soak/server_test.go
+++ b/internal/faults/soak/server_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"net"
+	"net/http"
 	"os/exec"
 	"testing"
 	"time"
@@ -42,3 +44,24 @@
 	close(stop)
 	<-ended
 }
+
+// Guards against holding a node to a wait that was told over a connection that had broken before.
+func TestAWaitOverABrokenConnectionBindsNobody(t *testing.T) {
+	day := Draw(1, 1, 1, 1, time.Second)
+	p := &play{day: day, began: time.Now().Add(-time.Minute)}
+	p.history = newHistory(p)
+	s, err := newServer(p, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	req := &http.Request{Header: http.Header{"X-Trace-Id": {"n0-1"}}}
+	for range 30 { // more than it takes at once
+		nc, other := net.Pipe()
+		other.Close()
+		s.answer(nc, req)
+	}
+	if len(p.history.waiting) > 0 {
+		t.Errorf("node 0 is held to %+v", p.history.waiting)
+	}
+}
