A message that is handed in again after its end has no second effect

Cause, by the node's log: the write of '+OK' failed (no route to host) and its connection was reset. By the time that one was read, an accept that failed later, the message had been delivered and forgotten; it was taken for a new one.

Further lives of undelivered messages, and callers who wait for the end, are as before.

Result: TestAMessageHandedInAgainAfterItsEndHasNoSecondEffect failed before (two calls). The ring is held against a plain model.

--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -107,6 +107,7 @@
 	stopping chan struct{}    // closed when nothing new is taken on any more
 	over     chan struct{}    // closed when the loop has ended
 	messages map[string]*past // all in the journal, by front and id: see ref
+	ended    recentEnds       // not in the journal any more
 	out      map[attempt]outCall
 	eps      map[string]*Endpoint
 	waits    map[int]*atomic.Int64 // of destinations whose endpoints share them
--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -6,8 +6,8 @@
 )
 
 // Hand hands a message in for the front of that name, and waits to hear whether it is taken on. Its end goes to the
-// front's sink. A message that the engine has already, by its ID, is taken on with no second effect. It may be
-// called by many goroutines at a time, but not for long after Run has ended.
+// front's sink. A message that the engine has already, by its ID, or that ended a few seconds ago, is taken on with no
+// second effect. It may be called by many goroutines at a time, but not for long after Run has ended.
 func (n *Engine) Hand(front string, m Message) Answer { return n.Offer(front, m).Answer() }
 
 // Offer is Hand without the wait: a front that has several messages at once offers all of them, and then asks for the
@@ -132,7 +132,8 @@
 	case p != nil && fresh[p.num()] != nil: // its fate is not known yet
 		fresh[p.num()] = append(fresh[p.num()], a)
 		return nil
-	case p != nil: // taken on before: handed in again it has no second effect
+	case p != nil, a.reply != nil && a.life == nil && n.ended.has(name, n.now()):
+		// Taken on before: handed in again it has no second effect.
 		n.acts = append(n.acts, act{do: func() { a.reply <- Answer{} }})
 		return nil
 	case a.Class < 0 || a.Class >= len(n.cfg.Settings.Classes):
--- /dev/null
+++ b/delivery/repeats_test.go
@@ -0,0 +1,53 @@
+package delivery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a second run of a message whose client handed it in again because its connection broke over the answer.
+func TestAMessageHandedInAgainAfterItsEndHasNoSecondEffect(t *testing.T) {
+	c := newCarrier(pass)
+	n := bare(t, c, at(t, "e", 7))
+	for range 2 {
+		a := n.handIn("a", 50*time.Second)
+		n.take(t.Context(), []any{a})
+		if answer := <-a.reply; answer != (Answer{}) {
+			t.Fatalf("got %+v", answer)
+		}
+		for len(n.out) > 0 {
+			n.take(t.Context(), []any{<-n.events})
+		}
+		if n.messages["a"] != nil {
+			t.Error("it has no end")
+		}
+	}
+	if ids := c.ids(); len(ids) != 1 {
+		t.Errorf("calls %v", ids)
+	}
+	close(n.quit)
+	n.calls.Wait()
+}
+
+// Ends are remembered for as long as is said, the latest ones first where there are too many.
+func TestRecentEndsAreThoseOfTheLastSeconds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var r recentEnds
+		ended, order, now := map[string]time.Duration{}, []string{}, time.Duration(0)
+		for range rapid.IntRange(1, 3000).Draw(rt, "ends") {
+			now += time.Duration(rapid.IntRange(0, 40).Draw(rt, "pause")) * time.Millisecond
+			name := fmt.Sprint(len(order))
+			r.add(name, now)
+			ended[name], order = now, append(order, name)
+		}
+		for i, name := range order {
+			want := now-ended[name] <= repeatMemory && len(order)-i <= repeatMost
+			if r.has(name, now) != want {
+				rt.Fatalf("%s of %d, ended %v ago: remembered %v", name, len(order), now-ended[name], !want)
+			}
+		}
+	})
+}
