--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -102,6 +102,7 @@
 	Faults  []Fault
 	Clocks  bool // wall clocks are off in each life, and are stepped; the program is one of faults.Failing
 	Calls   bool // system calls on sockets and on the folder fail in each life; likewise
+	Rarely  int  // with Calls: only calls on sockets fail, so many in a million at any time; 0 for what each life draws
 
 	ColdFrom float64       // share of its limit that a server has when it comes back
 	WarmIn   time.Duration // until it has all of it
@@ -247,3 +248,21 @@
 	}
 	return d
 }
+
+// returnDay is a day on which discovery falls silent again and again, endpoints begin to drain meanwhile, and connections break often.
+func returnDay(seed uint64) *Day {
+	const returns, drains = 3, 7
+	rng := rand.New(rand.NewPCG(seed, 4))
+	d := Draw(seed, 12, returns*drains+3, 70, 26*time.Second)
+	d.Calls, d.Rarely = true, 50_000
+	order := rng.Perm(len(d.Servers))
+	for i := range returns {
+		at := time.Duration(3+7*i) * time.Second
+		lasts := 2300*time.Millisecond + time.Duration(rng.Int64N(int64(1200*time.Millisecond)))
+		d.Faults = append(d.Faults, Fault{Kind: Silence, At: at, For: lasts})
+		for _, s := range order[drains*i:][:drains] {
+			d.Faults = append(d.Faults, Fault{Kind: Replace, At: at + time.Second, For: 10 * time.Second, Target: s})
+		}
+	}
+	return d
+}
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -192,6 +192,9 @@
 func (n *node) calls() faults.Calls {
 	const socketsFail, folderFails = 2 * time.Second, 4 * time.Second
 	rng := rand.New(rand.NewPCG(n.play.day.Seed, uint64(9000+100*n.number+n.lives)))
+	if n.play.day.Rarely > 0 {
+		return faults.Calls{Seed: rng.Uint64(), InAMillion: n.play.day.Rarely}
+	}
 	left := max(n.play.day.Length-n.play.now(), time.Second)
 	c := faults.Calls{Seed: rng.Uint64(), InAMillion: []int{0, 1000, 10_000}[rng.IntN(3)]}
 	if rng.IntN(2) == 0 {
--- a/internal/faults/soak/soak_test.go
+++ b/internal/faults/soak/soak_test.go
@@ -134,3 +134,11 @@
 		return day
 	})
 }
+
+// TestDrainsToldAtDiscoverysReturnAreKept guards against a drain that is missed while watches are silent and break.
+func TestDrainsToldAtDiscoverysReturnAreKept(t *testing.T) {
+	if *count == 0 {
+		t.Skip("played by hand, with -soak.seeds")
+	}
+	playSeeds(t, nil, returnDay)
+}
