Rounds of nodes that talk: a breach tells when its calls were decided on

Change: the nodes of a round record what they decide. A breach of the limit tells how many of its calls were decided on in the fullest window of that length. The check is as it was.

--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -50,6 +50,9 @@
 	Patience time.Duration
 }
 
+// records tells that nodes record what they decide. Without talk nothing is held against it, and clocks that are off tell nothing.
+func (o *Options) records() bool { return !o.Silent && !o.Clocks }
+
 const (
 	deadline = 3 * time.Second // of messages
 	classes  = 3
@@ -247,6 +250,9 @@
 	if !f.o.Silent {
 		cmd.Env = append(cmd.Env, "CORALYARD_PEERS="+filepath.Join(n.folder, "peers.yaml"))
 	}
+	if f.o.records() {
+		cmd.Env = append(cmd.Env, "CORALYARD_RECORDING="+n.recordings())
+	}
 	words, err := cmd.StderrPipe()
 	if err != nil {
 		return err
--- a/internal/faults/history.go
+++ b/internal/faults/history.go
@@ -240,13 +240,41 @@
 			n := i - first + 1
 			h.nearest = max(h.nearest, float64(n)/most)
 			if float64(n) > most {
-				return fmt.Errorf("%w: %d in %v up to %s, %.0f at most; the limit is %v a second", ErrOver, n, window, c.at.Format("15:04:05.000"), most, h.o.Limit)
+				return fmt.Errorf("%w: %d in %v up to %s, %.0f at most; the limit is %v a second; %s", ErrOver, n, window, c.at.Format("15:04:05.000"),
+					most, h.o.Limit, h.decidedIn(calls, window))
 			}
 		}
 	}
 	return nil
 }
 
+// decidedIn tells how many of some calls were decided on in the fullest window, where recordings tell when: what was decided on in
+// time may arrive in a clump on a machine with too much to do.
+func (h *History) decidedIn(calls []call, window time.Duration) string {
+	if !h.o.records() {
+		return "nothing is recorded"
+	}
+	all, err := readDecisions(h.o.Folder, h.o.Nodes)
+	if err != nil {
+		return err.Error()
+	}
+	var at []time.Time
+	for _, c := range calls {
+		if t, known := all.of(c); known {
+			at = append(at, t)
+		}
+	}
+	slices.SortFunc(at, time.Time.Compare)
+	fullest, first := 0, 0
+	for i := range at {
+		for at[i].Sub(at[first]) > window {
+			first++
+		}
+		fullest = max(fullest, i-first+1)
+	}
+	return fmt.Sprintf("of %d calls recordings tell the decisions of %d, %d of them in the fullest such window", len(calls), len(at), fullest)
+}
+
 // Summary tells what a run consisted of.
 func (h *History) Summary() string {
 	h.mu.Lock()
