--- a/internal/faults/soak/agent.go
+++ b/internal/faults/soak/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -30,6 +31,10 @@
 	changes  []change
 	waiting  []standin.Member // that came while it was down
 	down     bool
+	crowded  bool          // new watches are answered late, or turned away
+	cut      chan struct{} // closed when watches break
+	relieved time.Time     // when it was crowded last
+	turns    int           // of watches that came while it was crowded
 	news     chan struct{} // closed when changes grow or it goes down or up
 	notices  []standin.Notice
 	closed   chan struct{}
@@ -46,7 +51,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	a := &agent{addr: ln.Addr().String(), revision: 1, news: make(chan struct{}), closed: make(chan struct{})}
+	a := &agent{addr: ln.Addr().String(), revision: 1, news: make(chan struct{}), cut: make(chan struct{}), closed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", a.list)
 	mux.HandleFunc("POST /reports", a.report)
@@ -104,6 +109,51 @@
 	return learned
 }
 
+// crowdedDelay is how late a crowded agent answers a watch.
+const crowdedDelay = time.Second
+
+// setCrowded breaks the watches and has the agent answer new ones late or not at all, or as before.
+func (a *agent) setCrowded(crowded bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.crowded = crowded
+	if crowded {
+		close(a.cut)
+		a.cut = make(chan struct{})
+	} else {
+		a.relieved = time.Now()
+	}
+}
+
+// isBehind tells that nodes may still have to wait for their watches since the agent is or was crowded.
+func (a *agent) isBehind() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.crowded || time.Since(a.relieved) < toldWithin
+}
+
+// admit waits as long as a watch has to wait for its answer, and tells whether it gets one.
+func (a *agent) admit(ctx context.Context) bool {
+	a.mu.Lock()
+	crowded, turn := a.crowded, a.turns
+	a.turns++
+	a.mu.Unlock()
+	if !crowded {
+		return true
+	}
+	if turn%2 == 0 {
+		return false
+	}
+	late := time.NewTimer(crowdedDelay)
+	defer late.Stop()
+	select {
+	case <-late.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // list answers a watch. Lists without one are not asked for.
 func (a *agent) list(w http.ResponseWriter, req *http.Request) {
 	after, err := strconv.Atoi(req.URL.Query().Get("after"))
@@ -111,6 +161,13 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if !a.admit(req.Context()) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	a.mu.Lock()
+	cut := a.cut
+	a.mu.Unlock()
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
 	out := http.NewResponseController(w)
@@ -142,6 +199,8 @@
 			}
 		case <-req.Context().Done():
 			return
+		case <-cut:
+			panic(http.ErrAbortHandler) // its connection breaks
 		case <-a.closed:
 			return
 		}
--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -58,11 +58,13 @@
 	Drop                  // a server resets all its connections, again and again, with calls on them or none
 	Moves                 // discovery moves there and back several times in a row, with a SIGHUP each
 	Lose                  // a server does its calls and resets the connections in place of the answers
+	Forget                // a server forgets the connections that stand, with no word: what is written to them is never answered
+	Crowded               // discovery breaks its watches, and answers new ones late or turns them away
 	kinds
 )
 
 var kindNames = [kinds]string{"refuse", "hang", "fail", "shut", "vanish", "terminate", "kill", "stop", "replace", "move", "silence", "crowd", "halves",
-	"late", "drop", "moves", "lose"}
+	"late", "drop", "moves", "lose", "forget", "crowded"}
 
 // String names the kind.
 func (k Kind) String() string {
@@ -121,6 +123,7 @@
 	startAfter      = 600 * time.Millisecond  // after SIGKILL
 	answerPatience  = 400 * time.Millisecond  // of clients
 	answerLongest   = 3 * time.Second         // after which a request counts as never answered
+	toldWithin      = 6 * time.Second         // of discovery's having it, a change counts as told, whether it arrived or not
 	longestWait     = time.Second             // beyond the time to room, that a server at its limit tells
 	halvesWithin    = 3 * time.Second         // of its last byte, half a request has its error or its close
 	waitSlack       = 100 * time.Millisecond  // in which calls after a told wait are let through
@@ -245,6 +248,11 @@
 	}
 	if rng.IntN(2) == 0 {
 		d.Faults = append(d.Faults, Fault{Kind: Silence, At: seconds(2, 12), For: seconds(1, 8)})
+	} else {
+		d.Faults = append(d.Faults, Fault{Kind: Crowded, At: seconds(2, 12), For: seconds(1, 8)})
+	}
+	for _, s := range servers[len(servers)/3+2:] {
+		d.Faults = append(d.Faults, Fault{Kind: Forget, At: seconds(2, 20), Target: s})
 	}
 	return d
 }
--- a/internal/faults/soak/history.go
+++ b/internal/faults/soak/history.go
@@ -187,12 +187,12 @@
 	}
 }
 
-// draining notes that discovery has told that an endpoint drains.
-func (h *history) draining(endpoint string) {
+// draining notes that from a moment on it counts as told that an endpoint drains.
+func (h *history) draining(endpoint string, at time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if _, ok := h.drains[endpoint]; !ok {
-		h.drains[endpoint] = h.play.now()
+	if before, ok := h.drains[endpoint]; !ok || at < before {
+		h.drains[endpoint] = at
 	}
 }
 
--- a/internal/faults/soak/play.go
+++ b/internal/faults/soak/play.go
@@ -236,6 +236,9 @@
 		p.sleepUntil(ctx, over)
 		p.servers[f.Target].lose(false)
 		return nil
+	case f.Kind == Forget:
+		p.servers[f.Target].forget()
+		return nil
 	case f.Kind == Drop:
 		for at := f.At; at < over; at += dropEvery {
 			p.sleepUntil(ctx, at)
@@ -271,6 +274,14 @@
 				p.told(m)
 			}
 		}
+	case Crowded:
+		for _, d := range p.discovery {
+			d.setCrowded(true)
+		}
+		p.sleepUntil(ctx, over)
+		for _, d := range p.discovery {
+			d.setCrowded(false)
+		}
 	case Crowd, Halves:
 		p.crowd(ctx, n, f)
 	}
@@ -318,11 +329,16 @@
 	}
 }
 
-// told notes what counts as told to nodes from now on.
+// told notes what counts as told to nodes: from now on, or from when it does at the latest if discovery was crowded.
 func (p *play) told(m standin.Member) {
-	if m.Phase == "DRAINING" {
-		p.history.draining(m.ID)
+	if m.Phase != "DRAINING" {
+		return
+	}
+	at := p.now()
+	if slices.ContainsFunc(p.discovery, (*agent).isBehind) {
+		at += toldWithin
 	}
+	p.history.draining(m.ID, at)
 }
 
 // crowd connects clients to a node that say nothing, or half a request, and stay.
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -29,8 +29,8 @@
 	lns     []net.Listener // none while it refuses connections
 	queue   int            // the socket of a server that has vanished; -1 for none
 	fillers []net.Conn
-	open    map[net.Conn]bool
-	ill     Kind // while out
+	open    map[net.Conn]bool // true for one that is forgotten
+	ill     Kind              // while out
 	out     bool
 	losing  bool // its answers
 	fell    bool
@@ -106,7 +106,7 @@
 				return
 			}
 			s.mu.Lock()
-			s.open[nc] = true
+			s.open[nc] = false
 			s.mu.Unlock()
 			s.work.Go(func() { s.converse(nc) })
 		}
@@ -262,6 +262,21 @@
 	s.resetAll()
 }
 
+// forget has the server know nothing of the connections that stand.
+func (s *server) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for nc := range s.open {
+		s.open[nc] = true
+	}
+}
+
+func (s *server) hasForgotten(nc net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open[nc]
+}
+
 // toldNode notes that a node met a failure or a refusal.
 func (s *server) toldNode(node int) {
 	s.mu.Lock()
@@ -302,6 +317,10 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
+		if s.hasForgotten(nc) {
+			io.Copy(io.Discard, nc) // until the caller gives up
+			return
+		}
 		if !s.answer(nc, req) {
 			return
 		}
