Tests of silent watches share the watch that they play and the agent that follows

Need: three tests built the same watch, silent until discovery returns, by the same lines.

Change: silentWatch and follow are used by all of them; what they assert is as before.

--- a/internal/node/watch_return_test.go
+++ b/internal/node/watch_return_test.go
@@ -17,41 +17,18 @@
 // Guards against a drain that counts from discovery's return and is missed, since no watch is open between two tries.
 func TestWhatDiscoveryTellsAtItsReturnIsHeardAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		began := time.Now()
 		a := newAgent("discovery:1", list{Revision: 3}, 300, wire.Names{}, slog.New(slog.DiscardHandler))
 		a.site.dialWith(noConnection)
 		returned := make(chan struct{}) // discovery is silent until then
-		a.site.client.Transport = trips(func(r *http.Request) (*http.Response, error) {
-			body, w := io.Pipe()
-			go func() {
-				select {
-				case <-returned:
-					io.WriteString(w, `{"revision":4,"complete":false,"members":[{"id":"e","host_port":"e","phase":"DRAINING"}]}`+"\n")
-				case <-r.Context().Done():
-				}
-				<-r.Context().Done()
-				w.CloseWithError(r.Context().Err())
-			}()
-			return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
-		})
-		ctx, cancel := context.WithCancel(context.Background())
-		heard, watched := make(chan time.Duration, 9), make(chan struct{})
-		go func() {
-			defer close(watched)
-			a.Watch(ctx, func(l delivery.List) {
-				if len(l.Members) > 0 {
-					heard <- time.Since(began)
-				}
-			})
-		}()
-		away := watchSilence + time.Millisecond // the first watch has been given up just before
-		time.Sleep(away)
+		a.site.client.Transport = trips(func(r *http.Request) (*http.Response, error) { return silentWatch(r, returned, nil), nil })
+		heard := follow(t, a)
+		time.Sleep(watchSilence + time.Millisecond) // the first watch has been given up just before
+		back := time.Now()
 		close(returned)
-		if late := <-heard - away; late > 10*time.Millisecond {
+		<-heard
+		if late := time.Since(back); late > 10*time.Millisecond {
 			t.Errorf("heard %v after the return", late)
 		}
-		cancel()
-		<-watched
 	})
 }
 
--- a/internal/node/watch_short_test.go
+++ b/internal/node/watch_short_test.go
@@ -54,6 +54,25 @@
 	return heard
 }
 
+// silentWatch is a watch that says nothing until discovery returns. Then it breaks, or tells that an endpoint drains.
+func silentWatch(r *http.Request, returned <-chan struct{}, breaks error) *http.Response {
+	body, w := io.Pipe()
+	go func() {
+		select {
+		case <-returned:
+			if breaks != nil {
+				w.CloseWithError(breaks)
+				return
+			}
+			io.WriteString(w, `{"revision":4,"complete":false,"members":[{"id":"e","host_port":"e","phase":"DRAINING"}]}`+"\n")
+		case <-r.Context().Done():
+		}
+		<-r.Context().Done()
+		w.CloseWithError(r.Context().Err())
+	}()
+	return &http.Response{StatusCode: http.StatusOK, Body: body}
+}
+
 // Guards against a drain that is missed since the watch breaks while this machine can make no connection.
 func TestADrainIsHeardWhileNoConnectionCanBeMade(t *testing.T) {
 	t.Parallel()
@@ -116,17 +135,7 @@
 			if tries.Add(1) > 1 {
 				return nil, net.ErrClosed
 			}
-			body, w := io.Pipe()
-			go func() {
-				select {
-				case <-returned:
-					io.WriteString(w, `{"revision":4,"complete":false,"members":[{"id":"e","host_port":"e","phase":"DRAINING"}]}`+"\n")
-				case <-r.Context().Done():
-				}
-				<-r.Context().Done()
-				w.CloseWithError(r.Context().Err())
-			}()
-			return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
+			return silentWatch(r, returned, nil), nil
 		})
 		heard := follow(t, a)
 		time.Sleep(30 * time.Second)
@@ -148,22 +157,11 @@
 			returned := make(chan struct{})
 			var tries atomic.Int32
 			a.site.client.Transport = trips(func(r *http.Request) (*http.Response, error) {
-				body, w := io.Pipe()
-				first := tries.Add(1) == 1
-				go func() {
-					select {
-					case <-returned:
-						if first {
-							w.CloseWithError(syscall.ETIMEDOUT)
-							return
-						}
-						io.WriteString(w, `{"revision":4,"complete":false,"members":[{"id":"e","host_port":"e","phase":"DRAINING"}]}`+"\n")
-					case <-r.Context().Done():
-					}
-					<-r.Context().Done()
-					w.CloseWithError(r.Context().Err())
-				}()
-				return &http.Response{StatusCode: http.StatusOK, Body: body}, nil
+				var breaks error
+				if tries.Add(1) == 1 {
+					breaks = syscall.ETIMEDOUT
+				}
+				return silentWatch(r, returned, breaks), nil
 			})
 			heard := follow(t, a)
 			time.Sleep(watchSilence + time.Millisecond) // the first watch has been given up just before
