Notices that are not taken are logged

What an operator saw: nothing, while notices failed for 0.7 s.

Cause: the line is written when the pause before the next try has grown, and the pause before was read in the same statement that makes it grow, in an order that Go leaves open.

Change: two statements.

Result: TestNoticesThatAreNotTakenAreLogged failed before (the log was empty).

--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -205,7 +205,8 @@
 		s, here, leave := a.at(ctx)
 		err := post(here, s.notices, s.addr, ends)
 		if err != nil && here.Err() == nil {
-			before, wait := pause, pause.next()
+			before := pause
+			wait := pause.next()
 			if pause != before { // not each time of a long outage
 				a.log.Warn("notices not taken", "count", len(ends), "err", err)
 			}
--- a/internal/node/spare_test.go
+++ b/internal/node/spare_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -40,6 +42,21 @@
 	}
 }
 
+// Guards against notices that are not taken and of which the log says nothing.
+func TestNoticesThatAreNotTakenAreLogged(t *testing.T) {
+	t.Parallel()
+	r := newRegistry(t)
+	r.RefusePosts(1)
+	var text bytes.Buffer
+	a := newAgent(r.Addr(), list{}, 1, wire.Names{}, slog.New(slog.NewTextHandler(&text, nil)))
+	if err := a.Take(t.Context(), []delivery.End{{ID: "first", State: delivery.Failed}}); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(text.String(), "notices not taken") {
+		t.Errorf("the log says %q", text.String())
+	}
+}
+
 // Guards against notices that are overdue because this machine can make no connection for a while.
 func TestANoticeIsPostedWhileNoConnectionCanBeMade(t *testing.T) {
 	t.Parallel()
