Soak: drains told just before a crowded discovery; breaches tell how late the rig was

And whether a breach of a time is the rig's own lateness could not be told.

Change: drains of the last 6 s count from then on when discovery becomes crowded, as those told while it is do already. Breaches say how late the rig was woken.

--- a/internal/faults/soak/history.go
+++ b/internal/faults/soak/history.go
@@ -75,6 +75,7 @@
 	away     []span                     // of nodes: from a signal until they have been ready again for a while
 	breaches []Breach
 	counts   Counts
+	late     time.Duration // that this process was last woken after its time
 }
 
 // Counts are how often things happened.
@@ -104,7 +105,15 @@
 }
 
 func (h *history) breachLocked(rule Rule, format string, args ...any) {
-	h.breaches = append(h.breaches, Breach{rule, h.play.now(), fmt.Sprintf(format, args...)})
+	text := fmt.Sprintf(format, args...) + fmt.Sprintf(" (the rig was woken %v late before)", h.late.Round(time.Millisecond))
+	h.breaches = append(h.breaches, Breach{rule, h.play.now(), text})
+}
+
+// wokenLate notes how late this process was woken: what it counts against a time may be as late.
+func (h *history) wokenLate(by time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.late = by
 }
 
 func (h *history) count(f func(*Counts)) {
@@ -196,6 +205,19 @@
 	}
 }
 
+// postponeDrains has drains that were told just before discovery became crowded count from when they do at the latest: a process that
+// begins meanwhile is turned away.
+func (h *history) postponeDrains() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.play.now()
+	for endpoint, at := range h.drains {
+		if now-at < toldWithin {
+			h.drains[endpoint] = at + toldWithin
+		}
+	}
+}
+
 // waits notes that a server asked a node to be left alone, with its answer to a message.
 func (h *history) waits(now time.Duration, node, server int, id string, d time.Duration) {
 	h.mu.Lock()
