A message that was returned may come again under its id at once

The test's clients hand a message that was given back in again under its id, within the 10 s for which an ended one is taken for one that has been taken on; what had never run was answered as taken on and dropped. Ids are the clients', and may come again.

Change: a message that was returned, with which its client is told that it has not run and may come again, is not remembered. Those that were delivered or failed are.

--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -192,7 +192,7 @@
 		n.held--
 		p.home.add(endedRecord(p.seq, e))
 	} else {
-		n.forgetEnded(p)
+		n.forgetEnded(p, e.state)
 		p.ended = &e
 	}
 	if len(waiters) == 0 && (f.Sink == nil || !owed) {
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -79,7 +79,7 @@
 			events = append(events, n.called(e))
 		case settled:
 			for _, s := range e {
-				n.forgetEnded(s.of)
+				n.forgetEnded(s.of, s.State)
 			}
 			if n.cfg.Recorder != nil {
 				n.recordNotices(e)
--- a/delivery/repeats.go
+++ b/delivery/repeats.go
@@ -63,9 +63,10 @@
 	r.count--
 }
 
-// forgetEnded forgets a message that has its end, but for what tells it from a new one of its id.
-func (n *Engine) forgetEnded(p *past) {
-	if !p.again() {
+// forgetEnded forgets a message that has its end, but for what tells it from a new one of its id. One that was returned may come
+// again under that.
+func (n *Engine) forgetEnded(p *past, state State) {
+	if !p.again() && state != Returned {
 		n.ended.add(ref(p.front, p.id), n.now())
 	}
 	n.forget(p)
--- a/delivery/repeats_test.go
+++ b/delivery/repeats_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"starlingusher/choice"
 )
 
 // Guards against a second run of a message whose client handed it in again because its connection broke over the answer.
@@ -32,6 +34,21 @@
 	n.calls.Wait()
 }
 
+// Guards against a message that was returned, and is handed in again under its id, being taken for one that has run.
+func TestAMessageThatWasReturnedMayComeAgainUnderItsID(t *testing.T) {
+	n := bare(t, newCarrier(pass), held()) // nothing is sent
+	for range 2 {
+		n.take(t.Context(), []any{n.handIn("a", 50*time.Second)})
+		p := n.messages["a"]
+		if p == nil {
+			t.Fatal("it is not taken on anew")
+		}
+		n.finish(p, ending{state: Returned}, nil, true)
+		n.take(t.Context(), []any{settled{{ID: "a", State: Returned, of: p}}})
+		n.step(t.Context(), []choice.Event{choice.Dropped{ID: p.name()}}, nil)
+	}
+}
+
 // Ends are remembered for as long as is said, the latest ones first where there are too many.
 func TestRecentEndsAreThoseOfTheLastSeconds(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
