Ends that wait to be acknowledged and a late loop are logged; calls log as their node

Change: a warning once a second while the oldest end of a front waits for over 3 s to be acknowledged, with count, message and age; one when the engine's loop is woken over 100 ms late or a step takes as long. Calls log by the node's logger in place of the process's default one. Both bounds were chosen, not measured.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -107,7 +107,7 @@
 	if partners != nil {
 		defer partners.Close()
 		x.Carriers = partners.Carriers()
-		x.Further = partners.Front(daemon.NewCarrier(cfg, x.Carriers))
+		x.Further = partners.Front(daemon.NewCarrier(cfg, x.Carriers, log))
 	}
 	tape, err := openRecording(cfg, log)
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -35,8 +35,8 @@
 type Extras = node.Extras
 
 // NewCarrier makes a carrier like the daemon's own, for a further front whose messages go on to the same destinations.
-func NewCarrier(cfg Config, carriers map[int]delivery.Carrier) delivery.Carrier {
-	return node.NewCarrier(cfg, carriers)
+func NewCarrier(cfg Config, carriers map[int]delivery.Carrier, log *slog.Logger) delivery.Carrier {
+	return node.NewCarrier(cfg, carriers, log)
 }
 
 // OpenWith is Open with more than fronts.
--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -205,7 +205,7 @@
 			w <- end
 		}
 		if len(waiters) == 0 {
-			f.owed.put(end)
+			f.owe(end)
 		}
 	}}
 	if len(waiters) == 0 {
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -120,6 +120,7 @@
 	again       int                 // further lives
 	lost        []Lost              // for the keeper, before the next flush
 	late        []Ref               // likewise
+	lateLogged  time.Time           // when the loop was last logged as late
 	acts        []act               // what the records that are not yet written guard, in order
 	hold        holding             // with Copies
 	inherited   map[uint64]*journal // by the base of their messages' numbers
@@ -193,7 +194,7 @@
 		if n.fronts[f.Name] != nil || f.Carrier == nil || len(f.Name) > maxWord {
 			return nil, fmt.Errorf("delivery: front %q: it is given twice, or has no carrier", f.Name)
 		}
-		n.fronts[f.Name] = &front{Front: f, owed: mailbox{more: make(chan struct{}, 1)}}
+		n.fronts[f.Name] = &front{Front: f, owed: mailbox{more: make(chan struct{}, 1)}, unacknowledged: newBacklog()}
 	}
 	j, err := n.openWhenReady()
 	if err != nil {
@@ -321,6 +322,7 @@
 	for _, f := range n.fronts {
 		if f.Sink != nil {
 			parts.Go(func() { n.report(life, f) })
+			parts.Go(func() { n.watchBacklog(life, f) })
 		}
 	}
 	gone := make(chan struct{})
@@ -412,7 +414,7 @@
 		if p.ended != nil {
 			ended++
 			if f := n.fronts[p.front]; f.Sink != nil {
-				f.owed.put(newEnd(p))
+				f.owe(newEnd(p))
 			}
 			continue
 		}
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -269,7 +269,7 @@
 		n.messages[ref(p.front, p.id)] = p
 		if p.ended != nil {
 			if f.Sink != nil {
-				f.owed.put(newEnd(p))
+				f.owe(newEnd(p))
 			}
 			continue
 		}
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -23,7 +23,9 @@
 	defer timer.Stop()
 	batch := make([]any, 0, maxBatch)
 	for {
-		timer.Reset(n.untilWake())
+		asleep := n.untilWake()
+		slept := time.Now()
+		timer.Reset(asleep)
 		clear(batch) // what it held is not to be kept
 		batch = batch[:0]
 		select {
@@ -41,7 +43,9 @@
 				more = false
 			}
 		}
+		woken := time.Now()
 		n.take(ctx, batch)
+		n.logLate(woken.Sub(slept)-asleep, time.Since(woken), len(batch))
 	}
 }
 
@@ -81,6 +85,7 @@
 			events = append(events, n.stands(attempt(e)))
 		case settled:
 			for _, s := range e {
+				n.fronts[s.of.front].unacknowledged.remove(s.of)
 				n.forgetEnded(s.of, s.State)
 			}
 			if n.cfg.Recorder != nil {
--- a/delivery/sinks.go
+++ b/delivery/sinks.go
@@ -14,7 +14,14 @@
 // front is a Front at work.
 type front struct {
 	Front
-	owed mailbox
+	owed           mailbox
+	unacknowledged backlog
+}
+
+// owe has an end go to the front's sink.
+func (f *front) owe(e End) {
+	f.unacknowledged.add(e.of)
+	f.owed.put(e)
 }
 
 // mailbox holds the ends that a sink has yet to take, oldest first. The loop puts in, the sink's goroutine takes out.
--- a/internal/node/batches_test.go
+++ b/internal/node/batches_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"slices"
@@ -187,7 +188,7 @@
 }
 
 func TestSizeIsNeverLessThanWhatIsWritten(t *testing.T) {
-	p := newPool(0, 0, 1)
+	p := newPool(0, 0, 1, slog.New(slog.DiscardHandler))
 	e := endpointAt("127.0.0.1:1")
 	for _, a := range []delivery.Attempt{
 		{ID: "a"}, {ID: `<">\&'`, Key: `<<<>>>""`, Body: []byte("x")}, {ID: "a", Key: "k", Body: make([]byte, 1001)},
@@ -332,7 +333,7 @@
 
 // Destinations with a carrier of their own are called with one message at a time.
 func TestOnlyHTTPTakesSeveral(t *testing.T) {
-	p := newPool(0, 0, 1)
+	p := newPool(0, 0, 1, slog.New(slog.DiscardHandler))
 	if b := (byDest{p, map[int]delivery.Carrier{3: p}}); b.Batches(3) || !b.Batches(4) {
 		t.Error("who takes several")
 	}
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"reflect"
@@ -77,7 +78,7 @@
 
 func endpointAt(addr string) *delivery.Endpoint { return delivery.NewEndpoint("e", addr) }
 
-func testPool() *pool { return newPool(2*time.Second, time.Minute, 16) }
+func testPool() *pool { return newPool(2*time.Second, time.Minute, 16, slog.New(slog.DiscardHandler)) }
 
 // keptBy counts the connections that a pool keeps.
 func keptBy(p *pool) int {
@@ -281,7 +282,7 @@
 
 func TestIdleConnectionIsDroppedInTime(t *testing.T) {
 	p := newPartner(t, says(delivered))
-	pool, e := newPool(time.Second, 20*time.Millisecond, 16), endpointAt(p.Addr())
+	pool, e := newPool(time.Second, 20*time.Millisecond, 16, slog.New(slog.DiscardHandler)), endpointAt(p.Addr())
 	pool.Attempt(t.Context(), testCall(e))
 	eventually(t, "the idle connection is dropped", func() bool {
 		return keptBy(pool) == 0
--- a/internal/node/local_test.go
+++ b/internal/node/local_test.go
@@ -35,7 +35,7 @@
 		syscall.EHOSTUNREACH: choice.NoRoute, syscall.ETIMEDOUT: choice.NoRoute, syscall.ECONNABORTED: choice.NoRoute,
 	} {
 		for _, always := range []bool{false, true} {
-			p := newPool(time.Second, 5*time.Second, 8)
+			p := newPool(time.Second, 5*time.Second, 8, slog.New(slog.DiscardHandler))
 			dial, fails := p.connect, atomic.Int32{}
 			p.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				if fails.Add(1) <= 3 || always {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,8 +41,8 @@
 }
 
 // NewCarrier makes a carrier for a node's messages: HTTP calls, but to the destinations that have a carrier of their own.
-func NewCarrier(cfg Config, carriers map[int]delivery.Carrier) delivery.Carrier {
-	calls := newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8))
+func NewCarrier(cfg Config, carriers map[int]delivery.Carrier, log *slog.Logger) delivery.Carrier {
+	calls := newPool(cfg.Settings.DialTimeout, cfg.Settings.ConnIdle, max(cfg.Limits.Sockets/4, 8), log)
 	if len(carriers) == 0 {
 		return calls
 	}
@@ -78,7 +78,7 @@
 	n.agent.relay = x.Relay
 	own := delivery.Front{
 		Name: Front, Sink: n.agent, Leave: func() { n.clients.close() },
-		Carrier: NewCarrier(cfg, x.Carriers),
+		Carrier: NewCarrier(cfg, x.Carriers, log),
 	}
 	var err error
 	engine := cfg.Engine()
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -56,13 +56,13 @@
 	surpluses  int      // responses that answered no call, or were taken for another's
 }
 
-func newPool(dialTimeout, connIdle time.Duration, maxIdle int) *pool {
+func newPool(dialTimeout, connIdle time.Duration, maxIdle int, log *slog.Logger) *pool {
 	if dialTimeout <= 0 {
 		dialTimeout = time.Second
 	}
 	return &pool{
 		connect: (&net.Dialer{Timeout: dialTimeout}).DialContext, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
-		log: slog.Default(), idle: map[string][]*conn{}, undecided: map[string][]*conn{}, took: map[string]time.Duration{},
+		log: log, idle: map[string][]*conn{}, undecided: map[string][]*conn{}, took: map[string]time.Duration{},
 	}
 }
 
