--- a/internal/faults/soak/agent.go
+++ b/internal/faults/soak/agent.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"starlingusher/internal/faults/neighbour"
 	"starlingusher/internal/standin"
 )
 
@@ -23,9 +24,11 @@
 // says nothing on open watches, and learns nothing.
 type agent struct {
 	srv  *http.Server
-	addr string
+	addr string // where nodes find it
 	work sync.WaitGroup
 
+	beside func() error // ends the neighbour in front of it; nil where there is none
+
 	mu       sync.Mutex
 	revision int
 	changes  []change
@@ -64,7 +67,16 @@
 	return a, nil
 }
 
+// behind puts a neighbour in front of the agent.
+func (a *agent) behind(seed uint64, faults []neighbour.Fault) (err error) {
+	a.addr, a.beside, err = neighbour.Start(neighbour.Spec{Seed: seed, Target: a.addr, Faults: faults})
+	return err
+}
+
 func (a *agent) close() {
+	if a.beside != nil {
+		a.beside() // its error is of a process that ends anyway
+	}
 	close(a.closed)
 	a.srv.Close() // its error is of connections that end anyway
 	a.work.Wait()
--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -7,6 +7,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"starlingusher/internal/faults/neighbour"
 )
 
 // Effect tells what a repeat of a message may do at its server.
@@ -77,6 +79,9 @@
 // outage tells that a server is cold after the fault.
 func (k Kind) outage() bool { return k <= Vanish }
 
+// Window is a time of a day.
+type Window struct{ From, To time.Duration }
+
 // Fault is a fault of a day.
 type Fault struct {
 	Kind   Kind
@@ -106,7 +111,9 @@
 	Calls   bool // system calls on sockets and on the folder fail in each life; likewise
 	Rarely  int  // with Calls: only calls on sockets fail, so many in a million at any time; 0 for what each life draws
 	Streams Streams
-	Plain   bool // responses hold no report, and those to calls beyond a limit come late and tell no wait: many are alike
+	Agent   []neighbour.Fault // of a neighbour between nodes and discovery; none for no neighbour
+	LogHeld []Window          // times in which nobody reads the nodes' logs
+	Plain   bool              // responses hold no report, and those to calls beyond a limit come late and tell no wait: many are alike
 
 	ColdFrom float64       // share of its limit that a server has when it comes back
 	WarmIn   time.Duration // until it has all of it
--- a/internal/faults/soak/play.go
+++ b/internal/faults/soak/play.go
@@ -136,6 +136,11 @@
 			return err
 		}
 		p.discovery = append(p.discovery, d)
+		if len(p.day.Agent) > 0 {
+			if err := d.behind(p.day.Seed, p.day.Agent); err != nil {
+				return err
+			}
+		}
 	}
 	for i := range p.day.Servers {
 		s, err := newServer(p, i)
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -130,6 +130,9 @@
 	if err != nil {
 		return err
 	}
+	if err := n.play.day.narrow(words); err != nil {
+		return errors.Join(err, log.Close())
+	}
 	began := n.play.now()
 	n.play.history.begins(n.number)
 	if err := cmd.Start(); err != nil {
@@ -142,7 +145,7 @@
 	go func() { // ends with the process
 		defer close(done)
 		defer log.Close()
-		n.read(io.TeeReader(words, log))
+		n.read(io.TeeReader(&heldReader{Reader: words, play: n.play}, log))
 		err := cmd.Wait()
 		n.mu.Lock()
 		wanted := n.wanted
@@ -208,6 +211,22 @@
 	return c
 }
 
+// heldReader is a reader of a log that stands still now and then.
+type heldReader struct {
+	io.Reader
+	play *play
+}
+
+// Read waits for the end of a time in which nobody reads logs.
+func (r *heldReader) Read(b []byte) (int, error) {
+	for _, w := range r.play.day.LogHeld {
+		if now := r.play.now(); now >= w.From && now < w.To {
+			time.Sleep(w.To - now) // the pace of a slow reader
+		}
+	}
+	return r.Reader.Read(b)
+}
+
 // read takes from the process's log what it was told of servers, and its end in a panic.
 func (n *node) read(words io.Reader) {
 	lines := bufio.NewScanner(words)
--- a/internal/faults/soak/soak_test.go
+++ b/internal/faults/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"starlingusher/internal/faults"
+	"starlingusher/internal/faults/neighbour"
 )
 
 var (
@@ -22,6 +23,7 @@
 )
 
 func TestMain(m *testing.M) {
+	neighbour.Main()
 	flag.Parse()
 	os.Exit(func() int {
 		folder, err := os.MkdirTemp("", "soak-")
@@ -90,6 +92,12 @@
 	for _, f := range day.Faults {
 		t.Log(f)
 	}
+	for _, f := range day.Agent {
+		t.Log("between nodes and discovery: ", f)
+	}
+	for _, w := range day.LogHeld {
+		t.Logf("no log is read from %v to %v", w.From, w.To)
+	}
 	for _, b := range report.Breaches[:min(len(report.Breaches), 10)] {
 		t.Error(b)
 	}
@@ -156,3 +164,18 @@
 		return day
 	})
 }
+
+// TestSlowAgentsHoldNoNotices guards against notices that are late since discovery's agent is slow, silent or broken on some ways to it.
+func TestSlowAgentsHoldNoNotices(t *testing.T) {
+	playSeeds(t, []uint64{1, 2, 3, 4}, slowDay)
+}
+
+// TestEndlessResponsesHoldNothingElse guards against a server that has a node read and log one response for as long as it likes.
+func TestEndlessResponsesHoldNothingElse(t *testing.T) {
+	playSeeds(t, []uint64{1}, endlessDay)
+}
+
+// TestALogThatNobodyReadsHoldsNothing guards against a node that stands still while its log is not read.
+func TestALogThatNobodyReadsHoldsNothing(t *testing.T) {
+	playSeeds(t, []uint64{1}, heldLogDay)
+}
--- a/internal/faults/soak/stream.go
+++ b/internal/faults/soak/stream.go
@@ -20,11 +20,12 @@
 	PartBeforeNext                    // the first part of a response comes again ahead of the next response
 	Informational                     // a response with a 1xx status comes ahead of the next response
 	Pieces                            // a response comes byte by byte
+	Endless                           // a response comes again and again, while the connection stands and for 3 s at most
 	streamFaults
 )
 
 var streamFaultNames = [streamFaults]string{"copy at rest", "copy after the next request", "copy of an older response", "several copies",
-	"part before the next response", "1xx ahead", "in pieces"}
+	"part before the next response", "1xx ahead", "in pieces", "endless"}
 
 // String names the fault.
 func (f StreamFault) String() string {
@@ -38,6 +39,7 @@
 	longestRest      = 150 * time.Millisecond // until a copy comes at rest
 	longestAfterNext = 6 * time.Millisecond   // until a copy comes after the next request
 	pieceEvery       = 200 * time.Microsecond
+	longestEndless   = 3 * time.Second
 )
 
 // Streams tells how often responses of a server are tampered with on their way, and by which faults.
@@ -112,7 +114,7 @@
 func (s *stream) Write(b []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f, ok := s.draw(CopyAtRest, PartBeforeNext, Informational, Pieces)
+	f, ok := s.draw(CopyAtRest, PartBeforeNext, Informational, Pieces, Endless)
 	var ahead []byte
 	switch {
 	case !ok:
@@ -133,10 +135,23 @@
 	if _, err := s.Conn.Write(append(ahead, b...)); err != nil {
 		return 0, err
 	}
+	if ok && f == Endless {
+		s.endless(b)
+	}
 	s.keep(b)
 	return len(b), nil
 }
 
+// endless writes a response again until the connection ends, or for as long as it does so at most.
+func (s *stream) endless(b []byte) {
+	many := bytes.Repeat(b, 16)
+	for end := time.Now().Add(longestEndless); time.Now().Before(end); {
+		if _, err := s.Conn.Write(many); err != nil {
+			return
+		}
+	}
+}
+
 func (s *stream) inPieces(b []byte) error {
 	for i := range b {
 		if _, err := s.Conn.Write(b[i : i+1]); err != nil {
