A log that nobody reads holds no node

What callers saw: while the reader of a node's log stood still for some seconds, no client had an answer and no notice went out.

Cause: each line was written to the standard error by whoever logged it; once the pipe was full, the engine's loop and all connections waited in that write. Class: work that waits for a peer outside with no bound.

Change: lines go into a queue of 256 KB (chosen) that one goroutine writes, many at a time; a line that finds no room is dropped, and the log itself says how many were. What is queued at the end is written within 200 ms.

--- a/cmd/coralyard/main.go
+++ b/cmd/coralyard/main.go
@@ -14,6 +14,7 @@
 	"runtime/debug"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -59,6 +60,11 @@
 // logLinesPerSecond bounds the node's log lines of one message.
 const logLinesPerSecond = 50
 
+const (
+	logQueueBytes = 256 << 10              // lines that wait for the log's reader
+	logPatience   = 200 * time.Millisecond // with it, when the node ends
+)
+
 func main() {
 	if len(os.Args) > 1 {
 		k := kong.Parse(&tool{}, kong.Name("coralyard"), kong.Description(
@@ -69,14 +75,18 @@
 		}
 		return
 	}
-	log := slog.New(ratelog.New(slog.NewTextHandler(os.Stderr, nil), logLinesPerSecond))
-	if err := run(log); err != nil {
+	lines := ratelog.NewQueue(os.Stderr, logQueueBytes)
+	log := slog.New(ratelog.New(slog.NewTextHandler(lines, nil), logLinesPerSecond))
+	status := 0
+	if err := run(log, lines); err != nil {
 		log.Error("coralyard ends", "err", err)
-		os.Exit(1)
+		status = 1
 	}
+	lines.Close(logPatience)
+	os.Exit(status)
 }
 
-func run(log *slog.Logger) error {
+func run(log *slog.Logger, lines *ratelog.Queue) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	hup := make(chan os.Signal, 1) // one that comes while a reload is under way asks for another
@@ -177,6 +187,7 @@
 		select {
 		case err := <-talk.Copies().Fatal():
 			log.Error("coralyard ends at once", "err", err)
+			lines.Close(logPatience)
 			os.Exit(exitPast) // what it would still send is not its own any more
 		case <-running.Done():
 		}
--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -113,6 +113,7 @@
 	Streams Streams
 	Agent   []neighbour.Fault // of a neighbour between nodes and discovery; none for no neighbour
 	LogHeld []Window          // times in which nobody reads the nodes' logs
+	LogGone time.Duration     // from when on the readers of the logs are gone; 0 for never
 	Plain   bool              // responses hold no report, and those to calls beyond a limit come late and tell no wait: many are alike
 
 	ColdFrom float64       // share of its limit that a server has when it comes back
--- a/internal/faults/soak/process.go
+++ b/internal/faults/soak/process.go
@@ -146,6 +146,7 @@
 		defer close(done)
 		defer log.Close()
 		n.read(io.TeeReader(&heldReader{Reader: words, play: n.play}, log))
+		words.Close()
 		err := cmd.Wait()
 		n.mu.Lock()
 		wanted := n.wanted
@@ -217,8 +218,11 @@
 	play *play
 }
 
-// Read waits for the end of a time in which nobody reads logs.
+// Read waits for the end of a time in which nobody reads logs, and ends when their readers are gone.
 func (r *heldReader) Read(b []byte) (int, error) {
+	if gone := r.play.day.LogGone; gone > 0 && r.play.now() > gone {
+		return 0, io.EOF
+	}
 	for _, w := range r.play.day.LogHeld {
 		if now := r.play.now(); now >= w.From && now < w.To {
 			time.Sleep(w.To - now) // the pace of a slow reader
--- a/internal/faults/soak/slow.go
+++ b/internal/faults/soak/slow.go
@@ -124,11 +124,14 @@
 	return d
 }
 
-// heldLogDay is a day on which nobody reads the nodes' logs for some seconds.
+// heldLogDay is a day on which nobody reads the nodes' logs for some seconds or, by even seeds, from then on.
 func heldLogDay(seed uint64) *Day {
 	rng := rand.New(rand.NewPCG(seed, 8))
 	d := endingDay(rng, seed)
 	from := 2*time.Second + time.Duration(rng.Int64N(int64(2*time.Second)))
+	if seed%2 == 0 {
+		d.LogGone = from
+	}
 	d.LogHeld = []Window{{from, from + 6*time.Second}}
 	return d
 }
--- a/internal/ratelog/ratelog.go
+++ b/internal/ratelog/ratelog.go
@@ -1,5 +1,5 @@
 // Package ratelog bounds how many lines of one message a log takes, so that a node under faults can log every attempt, refusal
-// and close without the log becoming a load of its own.
+// and close without the log becoming a load of its own, and keeps a slow reader of the log from holding the process.
 package ratelog
 
 import (
