A connection ends after eight responses that nobody asked for

What callers saw: messages of a whole node without an end in their time, while one endpoint wrote one 200 without end on one connection (a spoilt answer that never ends).

Cause: a response equal to the one before leaves its call undecided, and since nothing ended such a connection: it was read, and each response logged, for as long as the endpoint liked. On a node with a fifth of a core that is all its processor. Class: a reader of foreign bytes without a budget.

Change: pairing lets 8 responses (chosen) on a connection answer no request; then it is out of step, the call may have run, and the connection ends. The same for responses of batches that name other messages.

--- a/internal/node/pairing/pairing.go
+++ b/internal/node/pairing/pairing.go
@@ -60,6 +60,10 @@
 	return "unknown"
 }
 
+// MostCopies is how many responses on a connection may answer no request of theirs. With more of them nothing of it can be told apart, and
+// a server could have its caller read without end.
+const MostCopies = 8
+
 // mostSeen is how many different responses are remembered; a connection that has had more is not used again.
 const mostSeen = 256
 
@@ -74,7 +78,8 @@
 	opaque  bool     // a response came whose fingerprint is not known
 	refused bool     // a response other than a pass came
 	exact   bool     // all requests before the one that waits, or is undecided, have had their responses
-	copied  bool     // a response came that answered no request, or another one
+	copies  int      // responses that answered no request, or another one
+	last    bool     // no further request goes out
 	pending Response // Undecided: the response that may be a copy
 }
 
@@ -89,7 +94,7 @@
 
 // Reusable tells whether another request may go out.
 func (t *Tracker) Reusable() bool {
-	return !t.copied && t.state != OutOfStep && t.state != Waiting && len(t.seen) < mostSeen
+	return t.copies == 0 && !t.last && t.state != OutOfStep && t.state != Waiting && len(t.seen) < mostSeen
 }
 
 // Request notes that a request goes out. One that follows an undecided response leaves that undecided for good, and each response
@@ -118,7 +123,8 @@
 	case Undecided:
 		return t.followed(r)
 	}
-	t.state, t.copied = OutOfStep, true
+	t.copies++
+	t.state = OutOfStep
 	return Surplus
 }
 
@@ -126,7 +132,10 @@
 func (t *Tracker) answered(r Response) Verdict {
 	first, known := t.First(), t.knows(r)
 	if r.Foreign && !first {
-		t.copied = true
+		if t.copies++; t.copies > MostCopies {
+			t.state = OutOfStep
+			return Ambiguous
+		}
 		return Skipped
 	}
 	t.remember(r)
@@ -140,20 +149,20 @@
 
 // followed notes a response that comes after one that may be a copy.
 func (t *Tracker) followed(r Response) Verdict {
-	t.copied = true
-	if r.Fingerprint != 0 && r == t.pending {
+	t.copies++
+	if r.Fingerprint != 0 && r == t.pending && t.copies <= MostCopies {
 		return MayBeCopy // whichever of the two it is, it says the same
 	}
 	known := t.knows(r)
 	t.state = OutOfStep
-	if t.exact && !known {
+	if t.exact && !known && t.copies <= MostCopies {
 		return Corrected
 	}
 	return Ambiguous
 }
 
 // Last notes that no further request goes out.
-func (t *Tracker) Last() { t.copied = true }
+func (t *Tracker) Last() { t.last = true }
 
 // Quiet notes that nothing followed an undecided response: it was the request's own.
 func (t *Tracker) Quiet() {
--- a/internal/node/pairing/pairing_test.go
+++ b/internal/node/pairing/pairing_test.go
@@ -99,6 +99,26 @@
 	}
 }
 
+// Guards against a server that has its caller read responses without end.
+func TestResponsesThatComeAgainEndTheirConnection(t *testing.T) {
+	pass := Response{Fingerprint: 1, Pass: true}
+	foreign := Response{Fingerprint: 1, Pass: true, Foreign: true}
+	for name, more := range map[string]Response{"equal": pass, "of other messages": foreign} {
+		var tracker Tracker
+		tracker.Request()
+		tracker.Response(pass)
+		tracker.Request()
+		n := 0
+		for tracker.State() != OutOfStep && n < 100 {
+			n++
+			tracker.Response(more)
+		}
+		if n > MostCopies+2 {
+			t.Errorf("%s: %d responses were read", name, n)
+		}
+	}
+}
+
 // Guards against taking the response to other messages for that of a call, and against believing one that can't be told apart.
 func TestForeignAndOpaqueResponses(t *testing.T) {
 	var tracker Tracker
--- a/internal/node/surplus_test.go
+++ b/internal/node/surplus_test.go
@@ -1,13 +1,17 @@
 package node
 
 import (
+	"bytes"
+	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"starlingusher/choice"
 	"starlingusher/delivery"
+	"starlingusher/internal/node/pairing"
 )
 
 const turnedAway = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
@@ -73,6 +77,31 @@
 	}
 }
 
+// Guards against an endpoint that writes one response without end, and has the node read and log it for as long.
+func TestAnEndlessResponseEndsItsConnection(t *testing.T) {
+	calls, written := 0, 0
+	ended := make(chan struct{})
+	p := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+		if calls++; calls == 1 {
+			return says(delivered)(nc, nil)
+		}
+		defer close(ended)
+		for written < 100_000 && says(delivered)(nc, nil) {
+			written++
+		}
+		return false
+	})
+	pool, call := testPool(), testCall(endpointAt(p.Addr()))
+	var log bytes.Buffer
+	pool.log = slog.New(slog.NewTextHandler(&log, nil))
+	pool.Attempt(t.Context(), call)
+	_, final := settledBy(t, pool, call)
+	<-ended
+	if lines := strings.Count(log.String(), "\n"); final.Outcome != choice.Cut || written == 100_000 || lines > pairing.MostCopies+1 {
+		t.Errorf("%v, %d responses written, %d lines logged", final.Outcome, written, lines)
+	}
+}
+
 // Guards against a copy of a refusal that has what must not run twice sent again.
 func TestWhatMustNotRunTwiceGoesWhereNoRefusalCame(t *testing.T) {
 	calls := 0
