Warnings are bounded like other lines of the log

Cause: records of level Warn and above passed the bound on lines of one message, so that whoever has the node warn can have it log without end.

The test held that warnings always pass, which is the fault: it holds now that all levels are bounded and that each tells what was dropped. It failed on the code before (5 warnings of 3).

--- a/internal/ratelog/ratelog.go
+++ b/internal/ratelog/ratelog.go
@@ -9,8 +9,7 @@
 	"time"
 )
 
-// Handler passes records on to another handler, at most so many a second of each message. Records of level Warn and above always
-// pass. The first record that passes after others were dropped says how many. It may be used by many goroutines at a time.
+// Handler passes records on to another handler, at most so many a second of each message, of whatever level. The first record that passes after others were dropped says how many. It may be used by many goroutines at a time.
 type Handler struct {
 	next  slog.Handler
 	state *state
@@ -44,9 +43,6 @@
 
 // Handle passes a record on, or drops it.
 func (h *Handler) Handle(ctx context.Context, r slog.Record) error {
-	if r.Level >= slog.LevelWarn {
-		return h.next.Handle(ctx, r)
-	}
 	passes, dropped := h.state.take(r.Message)
 	if !passes {
 		return nil
--- a/internal/ratelog/ratelog_test.go
+++ b/internal/ratelog/ratelog_test.go
@@ -16,13 +16,16 @@
 	log := slog.New(h).With("node", "n0")
 	for range 5 {
 		log.Info("attempt ended")
-		log.Warn("disk full")
+		log.Warn("a response too many")
+		log.Error("not kept")
 	}
 	log.Info("another")
 	now = now.Add(time.Second)
 	log.Info("attempt ended")
+	log.Warn("a response too many")
+	log.Error("not kept")
 	text := out.String()
-	for line, want := range map[string]int{"attempt ended": 3, "disk full": 5, "msg=another": 1, "dropped_before=3": 1} {
+	for line, want := range map[string]int{"attempt ended": 3, "a response too many": 3, "not kept": 3, "msg=another": 1, "dropped_before=3": 3} {
 		if got := strings.Count(text, line); got != want {
 			t.Errorf("%q stands there %d times, want %d:\n%s", line, got, want, text)
 		}
