No notice waits for the answer to another one, and none is given up for another try

What callers saw: messages that were taken on had no notice, or all theirs at one instant seconds late, while calls went out and came back.

Cause: a post of notices was given up after 150 ms and made again with the same notices, on a new connection each time, while all others waited behind it. An agent that always takes 200 ms had the same two notices posted without end; one late or silent connection held all that ended meanwhile. Class: a bound that throws away work that would have succeeded, a retry that starts from nothing, and one lane for all.

Change: internal/node/notices. A pure schedule decides what is posted when: each notice at once, again beside that after 40 to 80 ms and then ever later; posts that have no answer are left alone. A courier has the connections: those that have answered go first, new ones stand in reserve, hedges go another way, what hangs holds no place from others, a failure is followed at once. An answer on a connection that was used before may be a copy: the notice is then proven by the first response on a new one, a second later with others. The engine's Sink takes ends from an outbox and acknowledges them in any order.

TestACopyOfAnAnswerEndsNoNotices holds that nothing is acknowledged that was not taken; TestANoticeIsPostedWhileNoConnectionCanBeMade has a third notice.

--- a/delivery/engine_test.go
+++ b/delivery/engine_test.go
@@ -108,6 +108,10 @@
 	ends []End
 }
 
+func (s *sink) Serve(ctx context.Context, from Outbox, acknowledged func([]End)) {
+	SinkFunc(s.Take).Serve(ctx, from, acknowledged)
+}
+
 func (s *sink) Take(_ context.Context, ends []End) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/delivery/property_test.go
+++ b/delivery/property_test.go
@@ -70,6 +70,10 @@
 func (carry) HangUp(string, int) {}
 func (carry) Close()             {}
 
+func (c carry) Serve(ctx context.Context, from Outbox, acknowledged func([]End)) {
+	SinkFunc(c.Take).Serve(ctx, from, acknowledged)
+}
+
 func (c carry) Take(_ context.Context, ends []End) error {
 	if c.life.Err() != nil {
 		return c.life.Err()
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -172,9 +172,36 @@
 
 // Sink takes the ends that nobody waits for.
 type Sink interface {
-	// Take returns nil once all the ends are acknowledged, and otherwise when ctx ends. Ends may come again, after a
-	// restart: one that was acknowledged before does no harm.
-	Take(ctx context.Context, ends []End) error
+	// Serve takes ends out of the outbox until ctx ends. It has acknowledged called with each end that is taken for good, in any order;
+	// the call may wait. Ends may come again, after a restart: one that was acknowledged before does no harm.
+	Serve(ctx context.Context, from Outbox, acknowledged func([]End))
+}
+
+// Outbox holds the ends that a sink has yet to take, oldest first.
+type Outbox interface {
+	// Take waits for ends and takes some out; none once ctx has ended.
+	Take(ctx context.Context) []End
+}
+
+// SinkFunc is a Sink that takes ends one batch after another: it returns nil once all of a batch are acknowledged. After an error the
+// batch comes again.
+type SinkFunc func(ctx context.Context, ends []End) error
+
+// Serve makes SinkFunc a Sink.
+func (f SinkFunc) Serve(ctx context.Context, from Outbox, acknowledged func([]End)) {
+	for {
+		ends := from.Take(ctx)
+		if len(ends) == 0 {
+			return
+		}
+		for ctx.Err() == nil {
+			if f(ctx, ends) == nil {
+				acknowledged(ends)
+				break
+			}
+			sleep(ctx, sinkPause)
+		}
+	}
 }
 
 // Front is one way in. Its name is kept with its messages, so it stays the same from one life to the next.
--- a/delivery/sinks.go
+++ b/delivery/sinks.go
@@ -41,8 +41,8 @@
 	}
 }
 
-// take waits for ends and takes out as many as go to a sink at once; none once ctx has ended.
-func (b *mailbox) take(ctx context.Context) []End {
+// Take waits for ends and takes out as many as go to a sink at once; none once ctx has ended.
+func (b *mailbox) Take(ctx context.Context) []End {
 	for {
 		b.mu.Lock()
 		some := b.ends[:min(len(b.ends), maxEnds):min(len(b.ends), maxEnds)]
@@ -61,19 +61,7 @@
 	}
 }
 
-// report hands a front's ends to its sink until ctx ends. What is not acknowledged by then is in the journal.
+// report has a front's sink take its ends until ctx ends. What is not acknowledged by then is in the journal.
 func (n *Engine) report(ctx context.Context, f *front) {
-	for {
-		ends := f.owed.take(ctx)
-		if len(ends) == 0 {
-			return
-		}
-		for ctx.Err() == nil {
-			if err := f.Sink.Take(ctx, ends); err == nil {
-				n.tell(ctx, settled(ends))
-				break
-			}
-			sleep(ctx, sinkPause)
-		}
-	}
+	f.Sink.Serve(ctx, &f.owed, func(ends []End) { n.tell(ctx, settled(ends)) })
 }
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"starlingusher/delivery"
+	"starlingusher/internal/node/notices"
 	"starlingusher/internal/wire"
 )
 
@@ -21,16 +23,18 @@
 	nodes int   // that ask the same discovery
 	relay Relay // nil where each node watches for itself
 
-	mu   sync.Mutex
-	site *site
+	connect      notices.DialFunc // of notices
+	noticePlaces int              // connections whose notices have no answer
+
+	mu      sync.Mutex
+	site    *site
+	courier *notices.Courier[delivery.End] // nil before Serve
 }
 
 // site is one address of discovery, for as long as it is the address.
 type site struct {
 	addr     string
 	client   *http.Client // of the watch
-	notices  *http.Client
-	spare    *spareDialer // of notices: each of them has a time
 	watches  *spareDialer // of the watch: what it is told binds at once
 	moved    bool         // there was another one before
 	asked    bool         // it has told this node something; only kept where there is a relay
@@ -40,12 +44,9 @@
 }
 
 func newSite(addr string) *site {
-	s := &site{addr: addr, spare: newSpareDialer(addr), watches: newSpareDialer(addr)}
-	client := func(d *spareDialer) *http.Client {
-		return &http.Client{Transport: freshTransport{
-			Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: d.dial}, reserve: d}}
-	}
-	s.client, s.notices = client(s.watches), client(s.spare)
+	s := &site{addr: addr, watches: newSpareDialer(addr)}
+	s.client = &http.Client{Transport: freshTransport{
+		Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: s.watches.dial}, reserve: s.watches}}
 	s.left, s.leave = context.WithCancel(context.Background())
 	return s
 }
@@ -65,8 +66,8 @@
 	return t.Transport.RoundTrip(req)
 }
 
-// dialWith has connections to discovery made by another function. It is called before the site is used.
-func (s *site) dialWith(connect connectFunc) { s.spare.connect, s.watches.connect = connect, connect }
+// dialWith has connections of the watch made by another function. It is called before the site is used.
+func (s *site) dialWith(connect connectFunc) { s.watches.connect = connect }
 
 // Relay has one node's watch of discovery serve others. Its methods may be called by many goroutines at a time.
 type Relay interface {
@@ -81,9 +82,16 @@
 	List(ctx context.Context) ([]byte, error)
 }
 
+// The connections whose notices have no answer: a part of the node's sockets, up to a number with which a post goes out at least as often
+// as notices come back unanswered.
+const (
+	noticeShare      = 16
+	mostNoticePlaces = 32
+)
+
 // newAgent knows a list already: that of a node's configuration.
 func newAgent(addr string, known list, nodes int, names wire.Names, log *slog.Logger) *agent {
-	return &agent{log: log, names: names, after: known.Revision, nodes: nodes, site: newSite(addr)}
+	return &agent{log: log, names: names, after: known.Revision, nodes: nodes, site: newSite(addr), connect: new(net.Dialer).DialContext, noticePlaces: mostNoticePlaces}
 }
 
 // move takes the watch and the notices to another address. Being told the same address again changes nothing.
@@ -97,6 +105,9 @@
 	a.site.leave()
 	a.site = newSite(addr)
 	a.site.moved, a.site.caughtUp = true, time.Now().Add(catchUpTime)
+	if a.courier != nil {
+		a.courier.Move(addr)
+	}
 }
 
 // at is where discovery is now, and a context that ends with ctx or when it moves.
@@ -111,7 +122,6 @@
 		cancel()
 		if s.left.Err() != nil || ctx.Err() != nil {
 			s.client.CloseIdleConnections()
-			s.notices.CloseIdleConnections()
 		}
 	}
 }
@@ -127,7 +137,6 @@
 	}
 	for ctx.Err() == nil {
 		s, here, leave := a.at(ctx)
-		beside.Go(func() { s.spare.run(here) })
 		beside.Go(func() { s.watches.run(here) })
 		if a.relay == nil {
 			r.watch(here, s)
@@ -213,28 +222,41 @@
 	}
 }
 
-// Take posts notices until they are answered 204, at whatever address discovery then has. A notice may be posted
-// twice: one for a message that is over does no harm.
-func (a *agent) Take(ctx context.Context, ends []delivery.End) error {
-	var pause backoff
-	for ctx.Err() == nil {
-		s, here, leave := a.at(ctx)
-		err := post(here, s.notices, s.addr, ends)
-		if err != nil && here.Err() == nil {
-			before := pause
-			wait := pause.next()
-			if pause != before { // not each time of a long outage
-				a.log.Warn("notices not taken", "count", len(ends), "err", err)
-			}
-			sleep(here, min(wait, longestNoticePause))
-		}
-		if here.Err() != nil {
-			pause = 0 // another server has not failed yet
+// Serve has the courier post ends until ctx ends, at whatever address discovery then has. A notice may be posted twice: one for a message
+// that is over does no harm.
+func (a *agent) Serve(ctx context.Context, from delivery.Outbox, acknowledged func([]delivery.End)) {
+	courier := notices.New(a.address(), a.noticePlaces, a.connect, a.log, acknowledged)
+	a.mu.Lock()
+	a.courier = courier
+	a.mu.Unlock()
+	courier.Move(a.address()) // it may have moved meanwhile
+	var taking sync.WaitGroup
+	defer taking.Wait()
+	taking.Go(func() {
+		for ends := from.Take(ctx); len(ends) > 0; ends = from.Take(ctx) {
+			courier.Post(entriesOf(ends))
 		}
-		leave()
-		if err == nil {
-			return nil
+	})
+	courier.Run(ctx)
+}
+
+// address is where discovery is now.
+func (a *agent) address() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.site.addr
+}
+
+// entriesOf are the notices of ends. The platform knows no other word for an end that is none to come again after, so that a refusal is
+// told as a failure.
+func entriesOf(ends []delivery.End) []*notices.Entry[delivery.End] {
+	all := make([]*notices.Entry[delivery.End], 0, len(ends))
+	for _, e := range ends {
+		state := e.State
+		if state == delivery.Refused {
+			state = delivery.Failed
 		}
+		all = append(all, &notices.Entry[delivery.End]{Value: e, Line: notices.Line(e.ID, state.String(), e.After)})
 	}
-	return ctx.Err()
+	return all
 }
--- a/internal/node/agent_copies_test.go
+++ b/internal/node/agent_copies_test.go
@@ -10,10 +10,13 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"starlingusher/delivery"
+	"starlingusher/internal/node/notices"
 	"starlingusher/internal/wire"
 )
 
@@ -27,10 +30,11 @@
 		t.Fatal(err)
 	}
 	var served sync.WaitGroup
-	defer served.Wait()
-	defer ln.Close()
-	var mu sync.Mutex
-	taken := 0
+	t.Cleanup(func() {
+		ln.Close()
+		served.Wait()
+	})
+	var taken sync.Map // ids of notices
 	served.Go(func() {
 		for {
 			nc, err := ln.Accept()
@@ -45,11 +49,11 @@
 					if err != nil {
 						return
 					}
-					io.Copy(io.Discard, req.Body)
+					body, _ := io.ReadAll(req.Body)
 					if first { // any later request on the connection meets a copy, and then its end
-						mu.Lock()
-						taken++
-						mu.Unlock()
+						for line := range strings.Lines(string(body)) {
+							taken.Store(line, true)
+						}
 					}
 					io.WriteString(nc, noticesTaken)
 					if !first {
@@ -60,24 +64,52 @@
 		}
 	})
 	a := newAgent(ln.Addr().String(), list{}, 1, wire.Names{}, slog.New(slog.DiscardHandler))
-	ctx, cancel := context.WithCancel(t.Context())
-	served.Go(func() { a.site.spare.run(ctx) })
-	defer cancel()
-	const posts = 3
+	owed, acknowledged := serveNotices(t, a)
+	const posts = 5
 	for i := range posts {
-		eventually(t, "a connection in reserve", a.site.spare.has)
-		if err := a.Take(t.Context(), []delivery.End{{ID: fmt.Sprint(i), State: delivery.Failed}}); err != nil {
-			t.Fatal(err)
+		owed <- []delivery.End{{ID: fmt.Sprint(i), State: delivery.Failed}}
+		time.Sleep(time.Millisecond) // so that they go out in posts of their own
+	}
+	for range posts {
+		e := <-acknowledged
+		if _, ok := taken.Load(string(notices.Line(e.ID, "failed", 0))); !ok {
+			t.Errorf("notice %s is acknowledged and was never taken", e.ID)
 		}
 	}
-	a.site.notices.CloseIdleConnections()
-	mu.Lock()
-	defer mu.Unlock()
-	if taken != posts {
-		t.Errorf("%d of %d notices were taken", taken, posts)
+}
+
+// outbox hands out ends.
+type outbox chan []delivery.End
+
+func (o outbox) Take(ctx context.Context) []delivery.End {
+	select {
+	case some := <-o:
+		return some
+	case <-ctx.Done():
+		return nil
 	}
 }
 
+// serveNotices has an agent take ends until the test ends, and tells of those that are acknowledged.
+func serveNotices(t *testing.T, a *agent) (owed outbox, acknowledged <-chan delivery.End) {
+	owed, acks := make(outbox), make(chan delivery.End, 99)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		a.Serve(ctx, owed, func(some []delivery.End) {
+			for _, e := range some {
+				acks <- e
+			}
+		})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return owed, acks
+}
+
 // Guards against an older line of a watch that comes again and undoes what was told since.
 func TestALineOfAWatchThatComesAgainIsPassedOver(t *testing.T) {
 	t.Parallel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 func New(cfg Config, log *slog.Logger, x Extras) (*Node, error) {
 	n := &Node{cfg: cfg, log: log, agent: newAgent(cfg.Discovery, cfg.Known, cfg.Settings.Fleet, cfg.Names, log)}
 	n.agent.relay = x.Relay
+	n.agent.noticePlaces = min(cfg.Limits.Sockets/noticeShare, mostNoticePlaces)
 	own := delivery.Front{
 		Name: Front, Sink: n.agent, Leave: func() { n.clients.close() },
 		Carrier: NewCarrier(cfg, x.Carriers, log),
--- a/internal/node/spare_test.go
+++ b/internal/node/spare_test.go
@@ -6,10 +6,10 @@
 	"log/slog"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
-	"time"
 
 	"starlingusher/delivery"
 	"starlingusher/internal/wire"
@@ -47,49 +47,55 @@
 	t.Parallel()
 	r := newRegistry(t)
 	r.RefusePosts(1)
-	var text bytes.Buffer
+	var text safeBuffer
 	a := newAgent(r.Addr(), list{}, 1, wire.Names{}, slog.New(slog.NewTextHandler(&text, nil)))
-	if err := a.Take(t.Context(), []delivery.End{{ID: "first", State: delivery.Failed}}); err != nil {
-		t.Fatal(err)
-	}
+	owed, acknowledged := serveNotices(t, a)
+	owed <- []delivery.End{{ID: "first", State: delivery.Failed}}
+	<-acknowledged
 	if !strings.Contains(text.String(), "notices not taken") {
 		t.Errorf("the log says %q", text.String())
 	}
 }
 
+// safeBuffer is a buffer for several goroutines.
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
 // Guards against notices that are overdue because this machine can make no connection for a while.
 func TestANoticeIsPostedWhileNoConnectionCanBeMade(t *testing.T) {
 	t.Parallel()
 	r := newRegistry(t)
 	a := newAgent(r.Addr(), list{}, 1, wire.Names{}, slog.New(slog.DiscardHandler))
 	var short atomic.Bool
-	connect := a.site.spare.connect
-	a.site.spare.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+	var made atomic.Int64
+	connect := a.connect
+	a.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		if short.Load() {
 			return nil, systemError("socket", syscall.ENFILE)
 		}
-		return connect(ctx, network, addr)
+		nc, err := connect(ctx, network, addr)
+		made.Add(1)
+		return nc, err
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	watched := make(chan struct{})
-	go func() {
-		defer close(watched)
-		a.Watch(ctx, func(delivery.List) {})
-	}()
-	defer func() {
-		cancel()
-		<-watched
-	}()
-	eventually(t, "a connection in reserve", a.site.spare.has)
+	owed, _ := serveNotices(t, a)
+	eventually(t, "connections in reserve", func() bool { return made.Load() >= 2 })
 	short.Store(true)
-	posting, end := context.WithTimeout(ctx, 10*time.Second)
-	defer end()
-	for _, id := range []string{"first", "second"} {
-		if err := a.Take(posting, []delivery.End{{ID: id, State: delivery.Failed}}); err != nil {
-			t.Fatal(err)
-		}
-		if got := r.State(id); got != "failed" {
-			t.Errorf("%s is %q", id, got)
-		}
+	for _, id := range []string{"first", "second", "third"} {
+		owed <- []delivery.End{{ID: id, State: delivery.Failed}}
+		eventually(t, "the notice of "+id, func() bool { return r.State(id) == "failed" })
 	}
 }
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -82,6 +82,10 @@
 	all map[string]delivery.State
 }
 
+func (e *ends) Serve(ctx context.Context, from delivery.Outbox, acknowledged func([]delivery.End)) {
+	delivery.SinkFunc(e.Take).Serve(ctx, from, acknowledged)
+}
+
 func (e *ends) Take(_ context.Context, all []delivery.End) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/undelivered/recovery/recovery_test.go
+++ b/undelivered/recovery/recovery_test.go
@@ -109,6 +109,10 @@
 	ends map[string]delivery.State
 }
 
+func (s *sink) Serve(ctx context.Context, from delivery.Outbox, acknowledged func([]delivery.End)) {
+	delivery.SinkFunc(s.Take).Serve(ctx, from, acknowledged)
+}
+
 func (s *sink) Take(_ context.Context, ends []delivery.End) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
