A copy of a client's request has no second effect at the daemon after a refusal

What callers saw: a copy of a request, on its way beside the request, ran after its client was refused, and again under a new id after the client came back.

Cause: the daemon's front did not set NewIDs, by which the engine remembers for 10 s what it refused or returned: two tests handed messages in again under one id, which clients never do.

Change: the front sets it.

--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -297,6 +297,8 @@
 	d.Rate *= 2 // at the limits of the servers
 	d.Streams.Share = []float64{0.01, 0.1, 0.3}[rng.IntN(3)]
 	d.Plain = rng.IntN(2) == 0
+	again := rand.New(rand.NewPCG(seed, 6))
+	d.Streams.Requests = []float64{0, 0.02, 0.2}[again.IntN(3)]
 	for f := range streamFaults {
 		d.Streams.Faults = append(d.Streams.Faults, f)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -78,7 +78,7 @@
 	n.agent.relay = x.Relay
 	n.agent.noticePlaces = min(cfg.Limits.Sockets/noticeShare, mostNoticePlaces)
 	own := delivery.Front{
-		Name: Front, Sink: n.agent, Leave: func() { n.clients.close() },
+		Name: Front, Sink: n.agent, NewIDs: true, Leave: func() { n.clients.close() },
 		Carrier: NewCarrier(cfg, x.Carriers, log),
 	}
 	var err error
