--- a/internal/faults/soak/play.go
+++ b/internal/faults/soak/play.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,7 +38,7 @@
 type play struct {
 	day       *Day
 	options   Options
-	began     time.Time
+	began     atomic.Pointer[time.Time] // set anew once all nodes are ready; their logs are read before that
 	history   *history
 	servers   []*server
 	nodes     []*node
@@ -52,7 +53,10 @@
 	work      sync.WaitGroup
 }
 
-func (p *play) now() time.Duration { return time.Since(p.began) }
+func (p *play) now() time.Duration { return time.Since(*p.began.Load()) }
+
+// begin makes an instant the day's first.
+func (p *play) begin(at time.Time) { p.began.Store(&at) }
 
 func (p *play) sleepUntil(ctx context.Context, at time.Duration) bool {
 	t := time.NewTimer(at - p.now())
@@ -67,7 +71,8 @@
 
 // Run plays a day. The error is of the rig; broken rules are in the report.
 func Run(ctx context.Context, day *Day, o Options) (_ *Report, err error) {
-	p := &play{day: day, options: o, began: time.Now(), endpoints: map[string]string{}, phases: map[string]standin.Member{}}
+	p := &play{day: day, options: o, endpoints: map[string]string{}, phases: map[string]standin.Member{}}
+	p.begin(time.Now())
 	p.history = newHistory(p)
 	ctx, cancel := context.WithCancel(ctx)
 	defer p.close()
@@ -75,7 +80,7 @@
 	if err := p.start(ctx); err != nil {
 		return nil, err
 	}
-	p.began = time.Now()
+	p.begin(time.Now())
 	var all sync.WaitGroup
 	for _, n := range p.nodes {
 		c := &clients{play: p, node: n, rng: rand.New(rand.NewPCG(day.Seed, uint64(2000+n.number))),
--- a/internal/faults/soak/play_test.go
+++ b/internal/faults/soak/play_test.go
@@ -8,7 +8,8 @@
 // Guards against taking a request for dropped by the node that crossed the SIGKILL of its node.
 func TestARequestThatCrossesAKillIsNotCountedAsDropped(t *testing.T) {
 	day := Draw(1, 1, 1, 1, time.Second)
-	p := &play{day: day, began: time.Now()}
+	p := &play{day: day}
+	p.begin(time.Now())
 	p.history = newHistory(p)
 	c := &clients{play: p, node: &node{play: p, number: 3}}
 	before := p.now()
--- a/internal/faults/soak/server_test.go
+++ b/internal/faults/soak/server_test.go
@@ -11,7 +11,9 @@
 // Guards against a server that can't listen again because a process that is being started still holds its socket.
 func TestAServerListensAgainWhileProcessesStart(t *testing.T) {
 	day := Draw(1, 1, 1, 1, time.Second)
-	s, err := newServer(&play{day: day, began: time.Now()}, 0)
+	p := &play{day: day}
+	p.begin(time.Now())
+	s, err := newServer(p, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -48,7 +50,8 @@
 // Guards against holding a node to a wait that was told over a connection that had broken before.
 func TestAWaitOverABrokenConnectionBindsNobody(t *testing.T) {
 	day := Draw(1, 1, 1, 1, time.Second)
-	p := &play{day: day, began: time.Now().Add(-time.Minute)}
+	p := &play{day: day}
+	p.begin(time.Now().Add(-time.Minute))
 	p.history = newHistory(p)
 	s, err := newServer(p, 0)
 	if err != nil {
