--- a/internal/faults/neighbour/neighbour.go
+++ b/internal/faults/neighbour/neighbour.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -62,23 +63,24 @@
 
 // Spec tells a proxy what to do.
 type Spec struct {
-	Seed   uint64
-	Target string // the address that it stands in front of
-	Faults []Fault
+	Seed    uint64
+	Targets []string // the addresses that it stands in front of
+	Faults  []Fault
 }
 
-// proxy is a proxy at work.
+// proxy is a proxy at work, in front of one address.
 type proxy struct {
 	Spec
-	ln    *net.TCPListener
-	began time.Time
-	count atomic.Uint64
-	work  sync.WaitGroup
+	target string
+	ln     *net.TCPListener
+	began  time.Time
+	count  atomic.Uint64
+	work   sync.WaitGroup
 }
 
 // serve passes connections on until ctx ends.
-func serve(ctx context.Context, spec Spec, ln *net.TCPListener) error {
-	p := &proxy{Spec: spec, ln: ln, began: time.Now()}
+func serve(ctx context.Context, spec Spec, target string, ln *net.TCPListener) error {
+	p := &proxy{Spec: spec, target: target, ln: ln, began: time.Now()}
 	defer p.work.Wait()
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
@@ -95,12 +97,11 @@
 		if err != nil {
 			return err
 		}
-		for p.isFull() { // it is one of those that fill the queue
-			if !sleep(ctx, time.Millisecond) {
-				break
-			}
+		waited := false
+		for p.isFull() && sleep(ctx, time.Millisecond) { // it is one of those that fill the queue
+			waited = true
 		}
-		p.work.Go(func() { p.pass(ctx, nc) })
+		p.work.Go(func() { p.pass(ctx, nc, waited) })
 	}
 }
 
@@ -175,8 +176,8 @@
 	answered       atomic.Bool
 }
 
-// pass serves one connection.
-func (p *proxy) pass(ctx context.Context, nc net.Conn) {
+// pass serves one connection, which may have waited in the queue.
+func (p *proxy) pass(ctx context.Context, nc net.Conn, waited bool) {
 	defer nc.Close()
 	defer context.AfterFunc(ctx, func() { nc.Close() })()
 	came := time.Since(p.began)
@@ -187,8 +188,10 @@
 		return
 	}
 	l.draw(p.Faults, came, string(buffer[:n]))
-	if late := l.delay(LateRead); late > 0 && !sleep(ctx, came+late-time.Since(p.began)) {
-		return
+	if late := l.delay(LateRead); late > 0 || waited {
+		if n = l.hold(buffer, n, p.began.Add(came+late+time.Millisecond)); n == 0 {
+			return // it was given up meanwhile
+		}
 	}
 	switch {
 	case l.has(Reset):
@@ -198,7 +201,7 @@
 		l.swallow(buffer)
 		return
 	}
-	other, err := net.Dial("tcp", p.Target)
+	other, err := net.Dial("tcp", p.target)
 	if err != nil {
 		l.client.SetLinger(0)
 		return
@@ -242,6 +245,23 @@
 	return 0
 }
 
+// hold gathers what comes until a time, beside the n bytes that are there, and returns how much that is; 0 if the connection ends.
+func (l *link) hold(buffer []byte, n int, until time.Time) int {
+	l.client.SetReadDeadline(until) // an error is one of reading
+	for n < len(buffer) {
+		more, err := l.client.Read(buffer[n:])
+		n += more
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			break
+		}
+		if err != nil {
+			return 0
+		}
+	}
+	l.client.SetReadDeadline(time.Time{})
+	return n
+}
+
 // swallow reads until the connection ends.
 func (l *link) swallow(buffer []byte) {
 	for {
--- a/internal/faults/neighbour/process.go
+++ b/internal/faults/neighbour/process.go
@@ -34,29 +34,37 @@
 	if err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
 		io.Copy(io.Discard, os.Stdin) // until whoever started it ends
 		cancel()
 	}()
-	fmt.Println(ln.Addr())
-	return serve(ctx, spec, ln.(*net.TCPListener))
+	errs := make(chan error)
+	for _, target := range spec.Targets {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		fmt.Println(ln.Addr())
+		go func() { errs <- serve(ctx, spec, target, ln.(*net.TCPListener)) }()
+	}
+	for range spec.Targets {
+		err = errors.Join(err, <-errs)
+	}
+	return err
 }
 
-// Start starts a proxy in a process of its own, as another process of this program, which has to call Main. Stop ends it, and waits.
-func Start(spec Spec) (addr string, stop func() error, err error) {
+// Start starts a proxy in a process of its own, as another process of this program, which has to call Main. It returns where it stands for
+// each of the targets. Stop ends it, and waits.
+func Start(spec Spec) (addrs []string, stop func() error, err error) {
 	text, err := spec.encode()
 	if err != nil {
-		return "", nil, err
+		return nil, nil, err
 	}
 	self, err := os.Executable()
 	if err != nil {
-		return "", nil, err
+		return nil, nil, err
 	}
 	cmd := exec.Command(self)
 	cmd.Env = append(os.Environ(), variable+"="+text)
@@ -64,12 +72,16 @@
 	in, inErr := cmd.StdinPipe()
 	out, outErr := cmd.StdoutPipe()
 	if err := errors.Join(inErr, outErr, cmd.Start()); err != nil {
-		return "", nil, fmt.Errorf("neighbour: %w", err)
+		return nil, nil, fmt.Errorf("neighbour: %w", err)
 	}
 	stop = func() error { return errors.Join(in.Close(), cmd.Wait()) }
-	line, err := bufio.NewReader(out).ReadString('\n')
-	if err != nil {
-		return "", nil, errors.Join(fmt.Errorf("neighbour: it has no address: %w", err), stop())
+	lines := bufio.NewReader(out)
+	for range spec.Targets {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return nil, nil, errors.Join(fmt.Errorf("neighbour: it has no address: %w", err), stop())
+		}
+		addrs = append(addrs, strings.TrimSpace(line))
 	}
-	return strings.TrimSpace(line), stop, nil
+	return addrs, stop, nil
 }
--- a/internal/faults/soak/agent.go
+++ b/internal/faults/soak/agent.go
@@ -69,7 +69,10 @@
 
 // behind puts a neighbour in front of the agent.
 func (a *agent) behind(seed uint64, faults []neighbour.Fault) (err error) {
-	a.addr, a.beside, err = neighbour.Start(neighbour.Spec{Seed: seed, Target: a.addr, Faults: faults})
+	addrs, stop, err := neighbour.Start(neighbour.Spec{Seed: seed, Targets: []string{a.addr}, Faults: faults})
+	if err == nil {
+		a.addr, a.beside = addrs[0], stop
+	}
 	return err
 }
 
--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -112,6 +112,7 @@
 	Rarely  int  // with Calls: only calls on sockets fail, so many in a million at any time; 0 for what each life draws
 	Streams Streams
 	Agent   []neighbour.Fault // of a neighbour between nodes and discovery; none for no neighbour
+	Between []neighbour.Fault // of one between nodes and servers; likewise
 	LogHeld []Window          // times in which nobody reads the nodes' logs
 	LogGone time.Duration     // from when on the readers of the logs are gone; 0 for never
 	Plain   bool              // responses hold no report, and those to calls beyond a limit come late and tell no wait: many are alike
--- a/internal/faults/soak/play.go
+++ b/internal/faults/soak/play.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"starlingusher/internal/faults/neighbour"
 	"starlingusher/internal/standin"
 )
 
@@ -42,8 +43,9 @@
 	history   *history
 	servers   []*server
 	nodes     []*node
-	discovery []*agent // the first is where nodes begin
-	noticed   [2]int   // notices of each that were taken; of the goroutine that watches
+	discovery []*agent     // the first is where nodes begin
+	between   func() error // ends the neighbour in front of the servers; nil where there is none
+	noticed   [2]int       // notices of each that were taken; of the goroutine that watches
 
 	mu        sync.Mutex
 	endpoints map[string]string // by address
@@ -153,7 +155,13 @@
 			return err
 		}
 		p.servers = append(p.servers, s)
-		p.endpoint(s, fmt.Sprintf("s%d", i), s.addrs[0], "SERVING")
+	}
+	addrs, err := p.addrs()
+	if err != nil {
+		return err
+	}
+	for i, s := range p.servers {
+		p.endpoint(s, fmt.Sprintf("s%d", i), addrs[i], "SERVING")
 	}
 	started := make(chan error, p.day.Nodes)
 	for i := range p.day.Nodes {
@@ -167,13 +175,23 @@
 	for _, n := range p.nodes {
 		p.work.Go(func() { started <- n.start(ctx) })
 	}
-	var err error
 	for range p.nodes {
 		err = errors.Join(err, <-started)
 	}
 	return err
 }
 
+// addrs is where nodes find the servers: behind a neighbour, if there is one.
+func (p *play) addrs() (all []string, err error) {
+	for _, s := range p.servers {
+		all = append(all, s.addrs[0])
+	}
+	if len(p.day.Between) > 0 {
+		all, p.between, err = neighbour.Start(neighbour.Spec{Seed: p.day.Seed, Targets: all, Faults: p.day.Between})
+	}
+	return all, err
+}
+
 // endpoint puts an endpoint of a server on the list, or changes its phase.
 func (p *play) endpoint(s *server, id, addr, phase string) standin.Member {
 	m := standin.Member{ID: id, Addr: addr, Zone: "a", Kind: "plain", Dest: s.number, Phase: phase, Size: s.Weight}
@@ -431,6 +449,9 @@
 	for _, nc := range p.beside {
 		nc.Close()
 	}
+	if p.between != nil {
+		p.between() // its error is of a process that ends anyway
+	}
 	for _, s := range p.servers {
 		s.close()
 	}
--- a/internal/faults/soak/slow.go
+++ b/internal/faults/soak/slow.go
@@ -54,9 +54,45 @@
 	return d
 }
 
+// slowServersDay is a day on which servers are slow, silent or broken on some connections, for the whole day, for a second, for six, or
+// again and again. They tell no waits: those that come late could not be kept.
+func slowServersDay(seed uint64) *Day {
+	rng := rand.New(rand.NewPCG(seed, 9))
+	nodes := 2 + rng.IntN(4)
+	d := Draw(seed, nodes, 6, 20*float64(nodes), 14*time.Second)
+	for i := range d.Classes {
+		d.Classes[i].Deadline = time.Duration(2+rng.IntN(4)) * time.Second
+	}
+	d.Plain, d.MaxOpen = true, 100
+	for range 1 + rng.IntN(2) {
+		f := drawFault(rng)
+		f.Edge = "POST"
+		d.Between = append(d.Between, f)
+	}
+	return d
+}
+
 // drawAgentFault draws a fault between nodes and the agent. A first one may concern all connections, as long as those that stood before
 // go on; a second one leaves half of them as they are.
 func drawAgentFault(rng *rand.Rand, first bool) neighbour.Fault {
+	f := drawFault(rng)
+	if !first {
+		f.Share = min(f.Share, 0.5)
+	}
+	const stood = 4 * time.Second // until connections stand and have been used
+	switch f.Kind {
+	case neighbour.LateRead, neighbour.Silent, neighbour.Reset:
+		if f.Share == 1 && (f.Kind != neighbour.LateRead || f.Most > newsWithin) {
+			f.From = max(f.From, stood)
+		}
+	case neighbour.FullQueue:
+		f.From, f.Share = max(f.From, stood), 1
+	}
+	return f
+}
+
+// drawFault draws a fault of connections on which requests are posted.
+func drawFault(rng *rand.Rand) neighbour.Fault {
 	kinds := []neighbour.Kind{neighbour.LateRead, neighbour.LateAnswer, neighbour.Trickle, neighbour.Silent, neighbour.SilentKept, neighbour.Reset, neighbour.FullQueue, neighbour.Twice}
 	f := neighbour.Fault{Kind: kinds[rng.IntN(len(kinds))], Edge: "POST", Share: []float64{0.25, 0.5, 1}[rng.IntN(3)]}
 	f.Least = time.Duration(float64(bounds[rng.IntN(len(bounds))]) * multiples[rng.IntN(len(multiples))])
@@ -75,18 +111,6 @@
 	case 2:
 		f.For, f.Every = 4*time.Second, 8*time.Second
 	}
-	if !first {
-		f.Share = min(f.Share, 0.5)
-	}
-	const stood = 4 * time.Second // until connections stand and have been used
-	switch f.Kind {
-	case neighbour.LateRead, neighbour.Silent, neighbour.Reset:
-		if f.Share == 1 && (f.Kind != neighbour.LateRead || f.Most > newsWithin) {
-			f.From = max(f.From, stood)
-		}
-	case neighbour.FullQueue:
-		f.From, f.Share = max(f.From, stood), 1
-	}
 	return f
 }
 
--- a/internal/faults/soak/soak_test.go
+++ b/internal/faults/soak/soak_test.go
@@ -95,6 +95,9 @@
 	for _, f := range day.Agent {
 		t.Log("between nodes and discovery: ", f)
 	}
+	for _, f := range day.Between {
+		t.Log("between nodes and servers: ", f)
+	}
 	for _, w := range day.LogHeld {
 		t.Logf("no log is read from %v to %v", w.From, w.To)
 	}
@@ -179,3 +182,8 @@
 func TestALogThatNobodyReadsHoldsNothing(t *testing.T) {
 	playSeeds(t, []uint64{1, 2}, heldLogDay)
 }
+
+// TestSlowServersLoseNothing guards the same rules on days on which servers are slow, silent or broken on some connections.
+func TestSlowServersLoseNothing(t *testing.T) {
+	playSeeds(t, []uint64{1, 2}, slowServersDay)
+}
