A discovery that is slower than the watch's bound is heard

What callers would see: drains missed for as long as discovery takes over 5 s to answer a watch, and watches opened again and again.

Cause: a watch that said nothing for 2.5 s was replaced, and the one before it ended by the next one, whether or not it was about to be answered: with each answer late by 7.5 s none was ever heard, and by 2.75 s a new watch was opened at each pause although an earlier one served.

Change: up to three watches stand, the oldest and the latest two; one ends only when a later one has heard something. While any of them brings lines, none is opened.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,13 +27,16 @@
 	// grace of 250 ms. One that breaks sooner is no better than one that is not answered.
 	watchStood     = time.Second
 	longestRewatch = 100 * time.Millisecond
+	// mostWatches stand at a time: the oldest, which is the next one to be answered if discovery is slow, and the latest ones.
+	mostWatches = 3
 )
 
 // errSilent says that a watch has no line for too long.
 var errSilent = fmt.Errorf("watch: no line for %v", watchSilence)
 
-// watcher follows discovery by one watch after another. A watch that has gone silent stays open until a later one has heard
-// something: if it is discovery that was silent, the open watch hears at once what counts from its return.
+// watcher follows discovery by one watch after another. A watch that is silent stays open until a later one has heard something: if
+// discovery was silent, the open watch hears at once what counts from its return, and if it is slow, a watch that is ended at a bound
+// and asked for again would never be answered.
 type watcher struct {
 	log    *slog.Logger
 	client *http.Client
@@ -40,9 +44,10 @@
 	tell   func(list) error
 	keeps  bool // silent watches stay open
 
-	mu    sync.Mutex
-	after int64      // the revision that was told last
-	last  *openWatch // the one that was opened last
+	mu       sync.Mutex
+	after    int64         // the revision that was told last
+	standing []*openWatch  // oldest first
+	broke    chan struct{} // holds a token when one that had heard something, and was not the latest, may have ended
 }
 
 // openWatch is one watch, from its request to its end.
@@ -50,7 +55,7 @@
 	began   time.Time
 	silence *time.Timer
 	end     context.CancelFunc
-	before  *openWatch // that this one takes the place of, until it has heard something
+	line    time.Time // when a line came last; zero for none yet
 	heard   bool
 	told    bool          // of members
 	done    chan struct{} // closed when it has ended,
@@ -61,33 +66,25 @@
 // and is asked for again. All nodes of the fleet ask the same discovery. Where nodes watch for each other, keeps is false: as few
 // watches as can be are to be open.
 func watch(ctx context.Context, log *slog.Logger, client *http.Client, addr string, after int64, nodes int, keeps bool, tell func(list) error) {
-	w := &watcher{log: log, client: client, addr: addr, after: after, tell: tell, keeps: keeps}
+	w := &watcher{log: log, client: client, addr: addr, after: after, tell: tell, keeps: keeps, broke: make(chan struct{}, 1)}
 	var asking fleet.Asking
 	var open sync.WaitGroup
 	defer open.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	for ctx.Err() == nil {
-		o := w.open()
 		own, end := context.WithCancel(ctx)
-		o.end = end
+		o := w.open(end)
 		open.Go(func() {
 			defer close(o.done)
 			defer end()
 			o.err = w.follow(own, o)
-		})
-		var err error
-		select {
-		case <-o.done:
-			err = o.err
 			w.ended(o)
-		case <-o.silence.C:
-			err = errSilent
-			if !w.keeps {
-				end()
-				<-o.done
-				w.ended(o)
-			}
+		})
+		err := w.await(o)
+		if errors.Is(err, errSilent) && !w.keeps {
+			end()
+			<-o.done
 		}
 		if o.silence.Stop(); w.hasTold(o) {
 			asking.Told()
@@ -100,31 +97,71 @@
 	}
 }
 
+// await waits until the latest watch has ended, or all that stand are silent, and returns why another one is to be opened.
+func (w *watcher) await(o *openWatch) error {
+	for {
+		select {
+		case <-o.done:
+			return o.err
+		case <-o.silence.C:
+		case <-w.broke:
+		}
+		left := w.untilSilent(o)
+		if left <= 0 {
+			return errSilent
+		}
+		o.silence.Reset(left)
+	}
+}
+
+// untilSilent is the time after which the latest watch counts as silent, if no line comes before: it has had its time, and no earlier one
+// serves in its place.
+func (w *watcher) untilSilent(o *openWatch) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	last := o.began
+	for _, one := range w.standing {
+		if one.line.After(last) {
+			last = one.line
+		}
+	}
+	return watchSilence - time.Since(last)
+}
+
 // rest waits until the next watch is to be opened: for a pause, or for a short one from when the last watch that stands breaks.
 func (w *watcher) rest(ctx context.Context, pause time.Duration) {
-	w.mu.Lock()
-	last := w.last
-	w.mu.Unlock()
 	var broken chan struct{}
-	if last != nil {
-		broken = last.done
+	w.mu.Lock()
+	if len(w.standing) > 0 {
+		broken = w.standing[len(w.standing)-1].done
 	}
+	w.mu.Unlock()
 	over := time.NewTimer(pause)
 	defer over.Stop()
 	select {
 	case <-ctx.Done():
 	case <-over.C:
 	case <-broken:
-		w.ended(last)
 		sleep(ctx, min(pause, rand.N(longestRewatch)))
 	}
 }
 
-// ended notes that the last watch has ended. The one before it, if there is one, is the last again.
+// ended notes that a watch has ended.
 func (w *watcher) ended(o *openWatch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.last, o.before = o.before, nil
+	i := slices.Index(w.standing, o)
+	if i < 0 {
+		return // another one has taken its place
+	}
+	latest := i == len(w.standing)-1
+	w.standing = slices.Delete(w.standing, i, i+1)
+	if o.heard && !latest {
+		select {
+		case w.broke <- struct{}{}:
+		default:
+		}
+	}
 }
 
 // pause is the time until the next watch is opened after one has ended with an error. A dial that has reached nobody adds nothing to
@@ -141,24 +178,34 @@
 	return asking.Failed(nodes, rand.Float64())
 }
 
-// open begins a watch. Of those before it one stays at most.
-func (w *watcher) open() *openWatch {
+// open begins a watch.
+func (w *watcher) open(end context.CancelFunc) *openWatch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	o := &openWatch{began: time.Now(), silence: time.NewTimer(watchSilence), before: w.last, done: make(chan struct{})}
-	if o.before != nil {
-		o.before.endBefore()
+	o := &openWatch{began: time.Now(), silence: time.NewTimer(watchSilence), end: end, done: make(chan struct{})}
+	w.standing = append(w.standing, o)
+	if len(w.standing) > mostWatches {
+		w.standing[1].end()
+		w.standing = slices.Delete(w.standing, 1, 2)
 	}
-	w.last = o
 	return o
 }
 
-// endBefore ends the watch whose place this one has taken.
-func (o *openWatch) endBefore() {
-	if o.before != nil {
-		o.before.end()
-		o.before = nil
+// endBefore ends the watches whose place one has taken. The lock is held.
+func (w *watcher) endBefore(o *openWatch) {
+	i := slices.Index(w.standing, o)
+	for _, before := range w.standing[:max(i, 0)] {
+		before.end()
 	}
+	w.standing = slices.Delete(w.standing, 0, max(i, 0))
+}
+
+// came notes that a line came.
+func (w *watcher) came(o *openWatch) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o.line = time.Now()
+	o.silence.Reset(watchSilence)
 }
 
 func (w *watcher) revision() int64 {
@@ -193,7 +240,7 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 16<<10), maxListLine)
 	for lines.Scan() {
-		o.silence.Reset(watchSilence)
+		w.came(o)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
 			continue
@@ -218,7 +265,8 @@
 func (w *watcher) take(o *openWatch, l list) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if o != w.last && l.Revision <= w.after {
+	latest := len(w.standing) > 0 && o == w.standing[len(w.standing)-1]
+	if !latest && l.Revision <= w.after {
 		return nil
 	}
 	if !o.heard {
@@ -230,6 +278,6 @@
 	}
 	w.after, o.heard = l.Revision, true
 	o.told = o.told || len(l.Members) > 0
-	o.endBefore()
+	w.endBefore(o)
 	return nil
 }
