A refusal whose bytes come slowly is heard

What callers would see: messages that may run only once end as failed, and told waits are broken, at an endpoint whose responses take over 0.5 s from their first byte to their last: 5 ms a byte are enough.

Cause: a response had 0.5 s in all from its first byte on, however steadily it came; what had been read of a refusal was thrown away, the call counted as one that may have run, and the next one met the same bound.

Change: a pause in a response has 0.5 s at most, and the whole of it 3 s (both chosen), or as long as its call has. A 200 for one message says all by its first line and has 0.5 s for the rest, as before. What never comes whole is still not believed, its wait included (TestSpoiltAnswers).

Evidence: TestASlowRefusalIsHeard failed at 1.1 and 3 times the bound before; the tests of internal/node pass with the race detector.

--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -24,6 +24,7 @@
 	endpoint, addr string
 	limit          *io.LimitedReader
 	br             *bufio.Reader
+	wholeBy        time.Time // of the reader: when a response that has begun is to be whole; zero for no such time
 
 	idleSince time.Time // while it is kept; of whoever has it
 	mixed     bool      // likewise: a response other than a pass came on it
@@ -101,8 +102,27 @@
 )
 
 func newConn(nc net.Conn, endpoint, addr string) *conn {
-	l := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, endpoint: endpoint, addr: addr, limit: l, br: bufio.NewReaderSize(l, 4096)}
+	k := &conn{Conn: nc, endpoint: endpoint, addr: addr}
+	k.limit = &io.LimitedReader{R: steady{k}}
+	k.br = bufio.NewReaderSize(k.limit, 4096)
+	return k
+}
+
+// steady reads from a connection. While a response is to be whole by some time, each read has a bound of its own as well.
+type steady struct{ *conn }
+
+// Read implements io.Reader.
+func (r steady) Read(b []byte) (int, error) {
+	if !r.wholeBy.IsZero() {
+		by := time.Now().Add(answerTimeout)
+		if r.wholeBy.Before(by) {
+			by = r.wholeBy
+		}
+		if err := r.SetReadDeadline(by); err != nil {
+			return 0, err
+		}
+	}
+	return r.Conn.Read(b)
 }
 
 // begin has the connection's next response go to a call, and tells whether there can be one. Where the response before was undecided, it
--- a/internal/node/late_test.go
+++ b/internal/node/late_test.go
@@ -3,16 +3,71 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"starlingusher/choice"
+	"starlingusher/delivery"
 )
 
+// trickledTo makes a call to a partner that writes a text a byte at a time, and then says nothing more.
+func trickledTo(t *testing.T, text string, pause time.Duration) delivery.Result {
+	t.Helper()
+	p := testPool()
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	p.connect = func(context.Context, string, string) (net.Conn, error) {
+		near, far := net.Pipe()
+		serving.Go(func() {
+			defer far.Close()
+			if req, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+				io.Copy(io.Discard, req.Body)
+			}
+			for i := range text {
+				time.Sleep(pause)
+				if _, err := io.WriteString(far, text[i:i+1]); err != nil {
+					return
+				}
+			}
+			io.Copy(io.Discard, far)
+		})
+		return near, nil
+	}
+	got := p.Attempt(t.Context(), testCall(endpointAt("partner:1")))
+	p.Close()
+	return got
+}
+
+// Guards against a refusal, and a wait in it, that is thrown away since its bytes come slowly.
+func TestASlowRefusalIsHeard(t *testing.T) {
+	const wait = "HTTP/1.1 429 No\r\nRetry-After: 3\r\nContent-Length: 4\r\n\r\nbusy"
+	for _, times := range []float64{0.5, 0.9, 1.1, 3} {
+		t.Run(fmt.Sprint(times, " times the bound"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				got := trickledTo(t, wait, time.Duration(times*float64(answerTimeout))/time.Duration(len(wait)))
+				if got.Outcome != choice.NoRoom || !got.NotRun || got.Wait != 3*time.Second {
+					t.Errorf("got %+v", got)
+				}
+			})
+		})
+	}
+	t.Run("for ever", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			got := trickledTo(t, wait[:len(wait)-4]+wait, answerTimeout/2)
+			if took := time.Since(began); got.Outcome != choice.Cut || took > wholeTimeout+answerTimeout {
+				t.Errorf("got %+v after %v", got, took)
+			}
+		})
+	})
+}
+
 // A repeat that is dropped as one only until its time must not go out later, though the connection for it was asked for in
 // time and has come up: a dial to a part of the network that was cut off takes up to a second.
 func TestARepeatIsNotWrittenAfterItsTime(t *testing.T) {
