--- a/internal/faults/soak/slow.go
+++ b/internal/faults/soak/slow.go
@@ -91,6 +91,52 @@
 	return f
 }
 
+// watchBounds are those with which a node waits for its watch of discovery.
+var watchBounds = []time.Duration{250 * time.Millisecond, time.Second, 2 * time.Second, 2500 * time.Millisecond}
+
+// slowWatchDay is a day of drains on which discovery's watches are slow, silent or broken on some connections. All drains come when a
+// watch that was opened at the start has had its answer.
+func slowWatchDay(seed uint64) *Day {
+	const drains, settled, lineBytes = 5, 9 * time.Second, 700
+	rng := rand.New(rand.NewPCG(seed, 10))
+	nodes := 2 + rng.IntN(3)
+	d := Draw(seed, nodes, 8, 25*float64(nodes), 20*time.Second)
+	f := drawFault(rng)
+	f.Edge = "GET"
+	if rng.IntN(2) == 0 { // always late
+		f.Kind, f.Share, f.From, f.For, f.Every = neighbour.LateRead, 1, 0, 0, 0
+	}
+	f.Least = time.Duration(float64(watchBounds[rng.IntN(len(watchBounds))]) * multiples[rng.IntN(len(multiples))])
+	switch f.Kind {
+	case neighbour.LateAnswer:
+		f.Least = min(f.Least, 2*time.Second) // of each line
+	case neighbour.Trickle:
+		f.Least = min(f.Least, 3*time.Second) / lineBytes
+	case neighbour.Silent, neighbour.Reset, neighbour.FullQueue:
+		if f.For == 0 {
+			f.Share = min(f.Share, 0.5)
+		}
+		f.From = max(f.From, time.Second)
+	}
+	f.Most = f.Least
+	d.Agent = []neighbour.Fault{f}
+	for _, s := range rng.Perm(len(d.Servers))[:drains] {
+		at := settled + time.Duration(rng.Int64N(int64(4*time.Second)))
+		d.Faults = append(d.Faults, Fault{Kind: Replace, At: at, For: 10 * time.Second, Target: s})
+	}
+	return d
+}
+
+// hasSlowWatches tells whether what discovery tells may come late.
+func (d *Day) hasSlowWatches() bool {
+	for _, f := range d.Agent {
+		if f.Edge == "GET" {
+			return true
+		}
+	}
+	return false
+}
+
 // drawFault draws a fault of connections on which requests are posted.
 func drawFault(rng *rand.Rand) neighbour.Fault {
 	kinds := []neighbour.Kind{neighbour.LateRead, neighbour.LateAnswer, neighbour.Trickle, neighbour.Silent, neighbour.SilentKept, neighbour.Reset, neighbour.FullQueue, neighbour.Twice}
--- a/internal/faults/soak/soak_test.go
+++ b/internal/faults/soak/soak_test.go
@@ -187,3 +187,8 @@
 func TestSlowServersLoseNothing(t *testing.T) {
 	playSeeds(t, []uint64{1, 2}, slowServersDay)
 }
+
+// TestDrainsAreKeptWhileWatchesAreSlow guards against a drain that is missed since discovery is slow, silent or broken on some ways to it.
+func TestDrainsAreKeptWhileWatchesAreSlow(t *testing.T) {
+	playSeeds(t, []uint64{1, 2}, slowWatchDay)
+}
