A watch that has lines without end is opened anew after a pause

What callers would see: a node with a fifth of a core has no processor left while discovery's agent writes empty lines, or one list, without end.

Cause: each line of a watch was read and taken for as long as they came; an equal list was told to the decisions each time.

Change: a watch may have 100 lines a second (chosen; one comes every 2 s) that tell nothing new. With more it ends, the log says why, and the next one waits for a pause that grows.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -31,8 +31,18 @@
 	mostWatches = 3
 )
 
-// errSilent says that a watch has no line for too long.
-var errSilent = fmt.Errorf("watch: no line for %v", watchSilence)
+// A watch may have so many lines in a second that tell nothing new, empty ones among them, where one comes every 2 s.
+const (
+	mostIdleLines = 100
+	idleLinesSpan = time.Second
+)
+
+var (
+	// errSilent says that a watch has no line for too long.
+	errSilent = fmt.Errorf("watch: no line for %v", watchSilence)
+	// errIdleLines says that a watch has lines without end.
+	errIdleLines = fmt.Errorf("watch: over %d lines in %v that tell nothing", mostIdleLines, idleLinesSpan)
+)
 
 // watcher follows discovery by one watch after another. A watch that is silent stays open until a later one has heard something: if
 // discovery was silent, the open watch hears at once what counts from its return, and if it is slow, a watch that is ended at a bound
@@ -172,7 +182,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if o.heard && err != errSilent && !errors.Is(err, errBehind) && time.Since(o.began) >= watchStood {
+	if o.heard && err != errSilent && !errors.Is(err, errBehind) && !errors.Is(err, errIdleLines) && time.Since(o.began) >= watchStood {
 		return rand.N(longestRewatch)
 	}
 	return asking.Failed(nodes, rand.Float64())
@@ -239,10 +249,14 @@
 	}
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 16<<10), maxListLine)
+	var idle lineBudget
 	for lines.Scan() {
 		w.came(o)
 		line := bytes.TrimSpace(lines.Bytes())
 		if len(line) == 0 {
+			if !idle.spend(time.Now()) {
+				return errIdleLines
+			}
 			continue
 		}
 		l := list{line: line, after: after}
@@ -251,6 +265,11 @@
 		}
 		if told && l.Revision < after {
 			w.log.Warn("a line of the watch came again", "discovery", w.addr, "revision", l.Revision, "after", after)
+		}
+		if told && l.Revision <= after && !idle.spend(time.Now()) {
+			return errIdleLines
+		}
+		if told && l.Revision < after {
 			continue
 		}
 		after, told = l.Revision, true
@@ -261,6 +280,21 @@
 	return errors.Join(lines.Err(), io.EOF)
 }
 
+// lineBudget counts the lines of a watch that tell nothing new. The zero value has counted none.
+type lineBudget struct {
+	since time.Time
+	lines int
+}
+
+// spend counts a line, and tells whether there may be one more.
+func (b *lineBudget) spend(now time.Time) bool {
+	if now.Sub(b.since) >= idleLinesSpan {
+		b.since, b.lines = now, 0
+	}
+	b.lines++
+	return b.lines <= mostIdleLines
+}
+
 // take hands a list on. One of a watch whose place another has taken may be older than what that one has told.
 func (w *watcher) take(o *openWatch, l list) error {
 	w.mu.Lock()
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -24,15 +24,26 @@
 		name   string
 		spoilt func(w http.ResponseWriter, req *http.Request) // the second watch, after one that told revision 4
 		reason string
+		again  bool // it tells revision 4 more than once
 	}{
-		{"turned away", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, "503"},
+		{"turned away", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, "503", false},
 		{"closes half way through a list", func(w http.ResponseWriter, _ *http.Request) {
 			fmt.Fprint(w, whole(9)[:30])
 			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
-		}, "EOF"},
-		{"tells what is no list", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, `{"revision":"nine"}`) }, "cannot unmarshal"},
-		{"accepts and is silent", func(w http.ResponseWriter, req *http.Request) { <-req.Context().Done() }, "no line for 2.5s"},
+		}, "EOF", false},
+		{"tells what is no list", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, `{"revision":"nine"}`) }, "cannot unmarshal", false},
+		{"writes empty lines without end", func(w http.ResponseWriter, _ *http.Request) {
+			for err := error(nil); err == nil; {
+				_, err = fmt.Fprintln(w)
+			}
+		}, "over 100 lines in 1s that tell nothing", false},
+		{"tells the same without end", func(w http.ResponseWriter, _ *http.Request) {
+			for err := error(nil); err == nil; {
+				_, err = fmt.Fprintln(w, listOf(4, false))
+			}
+		}, "over 100 lines in 1s that tell nothing", true},
+		{"accepts and is silent", func(w http.ResponseWriter, req *http.Request) { <-req.Context().Done() }, "no line for 2.5s", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -65,6 +76,9 @@
 				}
 				return nil
 			})
+			if c.again {
+				told = slices.Compact(told)
+			}
 			if !slices.Equal(asked, []string{"2", "4", "4"}) || !slices.Equal(told, []int64{4, 5}) {
 				t.Errorf("asked for what comes after %v, told %v", asked, told)
 			}
