A held up node whose loans run out keeps to what is left of its right

Cause: what the decisions know of a right ends when the first part of it ends, a loan among them. A node that was held up did not tell them of the rest in time, and they fell back to what a node may have that never talked: the whole limit, while the node held its seat and was not deaf. Beside it a fall of a right by less than 2 in 100 was told up to 0.3 s late, when others may have that part.

Change: Known has a second part, what is left when all loans have run out, until the node's own lease ends. A fall is told at once, however small.

Evidence: TestWhatDecisionsGoByAddsUpWhileNodesAreHeld failed before: parts of nodes that are not deaf summed up to 1.625 of the limit; it passes now, as do the tests of fleet, choice, delivery, record, peers/core, peers/budget and lab/talk.

--- a/fleet/known.go
+++ b/fleet/known.go
@@ -18,6 +18,8 @@
 type Known struct {
 	Share    float64       // part of the limit that this sender has a right to
 	ShareTil time.Duration // until then, if it hears nothing more
+	Least    float64       // part of it that is left of the right when loans from others have run out
+	LeastTil time.Duration // until then, if it hears nothing more
 	DebtTil  time.Duration // others were refused: the limit is in debt until then
 	OutTil   time.Duration // several others find the route out
 	SpareTil time.Duration // others try whether it is back, and this sender need not
@@ -25,14 +27,22 @@
 }
 
 // Shared tells that the sender holds a right now.
-func (k *Known) Shared(now time.Duration) bool { return now < k.ShareTil }
+func (k *Known) Shared(now time.Duration) bool { return now < max(k.ShareTil, k.LeastTil) }
 
 // Deaf tells that the sender held a right and holds none: it hears nobody any more.
-func (k *Known) Deaf(now time.Duration) bool { return k.ShareTil > 0 && now >= k.ShareTil }
+func (k *Known) Deaf(now time.Duration) bool { return k.ShareTil > 0 && !k.Shared(now) }
+
+// right is the part of the limit that the sender has a right to now; it holds one.
+func (k *Known) right(now time.Duration) float64 {
+	if now < k.ShareTil {
+		return k.Share
+	}
+	return k.Least
+}
 
 // Shift is the same on a clock that shows by more.
 func (k Known) Shift(by time.Duration) Known {
-	for _, t := range []*time.Duration{&k.ShareTil, &k.DebtTil, &k.OutTil, &k.SpareTil, &k.BackFrom} {
+	for _, t := range []*time.Duration{&k.ShareTil, &k.LeastTil, &k.DebtTil, &k.OutTil, &k.SpareTil, &k.BackFrom} {
 		if *t != 0 {
 			*t += by
 		}
@@ -46,9 +56,9 @@
 	case !k.Shared(now):
 		return alone.Share()
 	case now < k.DebtTil:
-		return k.Share * debtPart
+		return k.right(now) * debtPart
 	}
-	return k.Share
+	return k.right(now)
 }
 
 // Out tells that others find the route out.
--- a/fleet/known_test.go
+++ b/fleet/known_test.go
@@ -14,19 +14,25 @@
 		span := func(name string) time.Duration {
 			return time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, name))
 		}
-		k := Known{Share: rapid.Float64Range(0, 1).Draw(t, "share"), ShareTil: span("share til"), DebtTil: span("debt til"), OutTil: span("out til"),
+		k := Known{Share: rapid.Float64Range(0, 1).Draw(t, "share"), ShareTil: span("share til"), LeastTil: span("least til"), DebtTil: span("debt til"), OutTil: span("out til"),
 			SpareTil: span("spare til"), BackFrom: span("back")}
+		k.Least = rapid.Float64Range(0, k.Share).Draw(t, "least")
 		now, struck, due := span("now"), span("struck"), span("due")
 		var alone Part
 		alone.Refused(now, rapid.IntRange(1, 300).Draw(t, "n"), rapid.Float64Range(0, 1).Draw(t, "own"))
 		got := k.Part(now, &alone)
+		over := now >= k.ShareTil && now >= k.LeastTil
+		most := k.Share
+		if now >= k.ShareTil {
+			most = k.Least
+		}
 		switch {
-		case now >= k.ShareTil && got != alone.Share():
+		case over && got != alone.Share():
 			t.Fatalf("%v of a share that is over, %v alone", got, alone.Share())
-		case now < k.ShareTil && got > k.Share:
-			t.Fatalf("%v of a share of %v", got, k.Share)
+		case !over && got > most:
+			t.Fatalf("%v of a share of %v", got, most)
 		}
-		if cold := k.Cold(now, 7, 100); now >= k.ShareTil && cold != 7 || now < k.ShareTil && cold > 100*k.Share {
+		if cold := k.Cold(now, 7, 100); over && cold != 7 || !over && cold > 100*most {
 			t.Fatalf("%v calls a second", cold)
 		}
 		if k.Out(now) != (now < k.OutTil) || k.Spared(now) != (now < k.SpareTil) {
--- a/peers/budget/budget.go
+++ b/peers/budget/budget.go
@@ -286,6 +286,16 @@
 	return units, until, false
 }
 
+// Assured are the units of a key that the node may use until a time whatever it does not hear before: its floor and its own seat, less what
+// it has lent. A deaf node has its floor alone.
+func (n *Node) Assured(now time.Duration, key Key) (units int64, until time.Duration) {
+	if until = n.until(n.name); until <= now {
+		return n.cfg.floor(), until
+	}
+	lent, _ := n.Loans(now, key)
+	return max(n.cfg.even()-lent, n.cfg.floor()), until
+}
+
 // Loans are the units of a key that are lent to others and borrowed from others now.
 func (n *Node) Loans(now time.Duration, key Key) (lent, borrowed int64) {
 	s := n.shares[key]
--- a/peers/core/core.go
+++ b/peers/core/core.go
@@ -480,8 +480,10 @@
 	if d.limit > 0 {
 		if units, until, deaf := c.rights.Rights(now, budget.Key(key)); !deaf {
 			k.Share, k.ShareTil = float64(units)/budget.Whole, until
+			assured, until := c.rights.Assured(now, budget.Key(key))
+			k.Least, k.LeastTil = min(k.Share, float64(assured)/budget.Whole), until
 		} else if d.said.ShareTil > 0 { // it had a right, and lost it then
-			k.ShareTil = min(d.said.ShareTil, now)
+			k.ShareTil, k.LeastTil = min(d.said.ShareTil, now), min(d.said.LeastTil, now)
 		}
 	}
 	f := c.book.Find(now, verdict.Key(key))
@@ -500,8 +502,8 @@
 	return k
 }
 
-// differs tells whether the decisions should hear of a change at once.
+// differs tells whether the decisions should hear of a change at once. What is not theirs any more may be another's by now, however little.
 func differs(now time.Duration, a, b fleet.Known) bool {
-	return a.Share < 0.98*b.Share || a.Share > 1.02*b.Share || a.Shared(now) != b.Shared(now) || a.Out(now) != b.Out(now) ||
+	return a.Share < b.Share || a.Least < b.Least || a.Share > 1.02*b.Share || a.Shared(now) != b.Shared(now) || a.Out(now) != b.Out(now) ||
 		a.Spared(now) != b.Spared(now) || a.BackFrom != b.BackFrom || (now < a.DebtTil) != (now < b.DebtTil)
 }
--- a/peers/core/core_test.go
+++ b/peers/core/core_test.go
@@ -10,6 +10,7 @@
 
 	"pgregory.net/rapid"
 
+	"starlingusher/fleet"
 	"starlingusher/internal/rapidseed"
 	"starlingusher/peers/budget"
 	"starlingusher/peers/member"
@@ -29,6 +30,7 @@
 	nodes []*Core
 	off   []time.Duration // of each clock
 	cut   func(from, to int) bool
+	held  func(i int) bool // it does not run now
 	air   []flight
 	lives uint64
 	sent  int
@@ -40,7 +42,8 @@
 }
 
 func newCores(n int, seed uint64) *cores {
-	f := &cores{rng: rand.New(rand.NewPCG(seed, 5)), nodes: make([]*Core, n), off: make([]time.Duration, n), cut: func(int, int) bool { return false }}
+	f := &cores{rng: rand.New(rand.NewPCG(seed, 5)), nodes: make([]*Core, n), off: make([]time.Duration, n), cut: func(int, int) bool { return false },
+		held: func(int) bool { return false }}
 	for i := range n {
 		f.off[i] = time.Duration(f.rng.IntN(1000)) * time.Hour
 		f.start(i)
@@ -64,12 +67,14 @@
 		due := f.air
 		f.air = nil
 		for _, a := range due {
-			if n := f.nodes[a.to]; n != nil {
+			if f.held(a.to) {
+				f.air = append(f.air, a)
+			} else if n := f.nodes[a.to]; n != nil {
 				n.Take(f.at(a.to), a.p)
 			}
 		}
 		for i, n := range f.nodes {
-			if n == nil {
+			if n == nil || f.held(i) {
 				continue
 			}
 			n.Tick(f.at(i))
@@ -194,6 +199,45 @@
 	})
 }
 
+// Guards against a node that is held up, with loans that run out meanwhile, and goes beyond its right without being deaf.
+func TestWhatDecisionsGoByAddsUpWhileNodesAreHeld(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 9).Draw(t, "n")
+		f := newCores(n, rapid.Uint64().Draw(t, "seed"))
+		told := make([]fleet.Known, n)
+		var held []int
+		f.held = func(i int) bool { return slices.Contains(held, i) }
+		look := func(d time.Duration) {
+			for range d / (2 * step) {
+				f.run(2 * step)
+				sum := 0.0
+				for i, c := range f.nodes {
+					if !f.held(i) {
+						for range rapid.IntRange(0, 6).Draw(t, "came") {
+							c.Came(f.at(i), key, 1)
+						}
+						c.Saw(f.at(i), key, Passed, 50)
+						for _, news := range c.News(f.at(i)) {
+							told[i] = news.Known
+						}
+					}
+					if deaf := c.rights.Talks() <= f.at(i); !deaf && told[i].ShareTil > 0 {
+						sum += told[i].Part(f.at(i), new(fleet.Part))
+					}
+				}
+				if sum > 1.02 { // a rise by two in a hundred is not told at once
+					t.Fatalf("the parts by which nodes go sum up to %.3f, %v are held", sum, held)
+				}
+			}
+		}
+		look(8 * time.Second)
+		for range rapid.IntRange(1, 6).Draw(t, "holds") {
+			held = rapid.SliceOfNDistinct(rapid.IntRange(0, n-1), 0, n/2, rapid.ID[int]).Draw(t, "held")
+			look(time.Duration(rapid.IntRange(1, 20).Draw(t, "for")) * 200 * time.Millisecond)
+		}
+	})
+}
+
 // BenchmarkFleet is the cost of a node in a second by the size of its fleet, with traffic at thirty routes.
 func BenchmarkFleet(b *testing.B) {
 	for _, n := range []int{8, 80, 300} {
