No race of the last notices with a courier that ends

Cause: closeLate took no lock, since the loop has ended by then; Post may still be called.

Change: it takes the lock.

Evidence: TestNoticesMayComeWhileTheCourierEnds has the race before and none now.

--- a/internal/node/notices/courier.go
+++ b/internal/node/notices/courier.go
@@ -41,7 +41,7 @@
 // DialFunc makes a connection, as net.Dialer.DialContext does.
 type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Courier posts notices to the agent until it has taken them. Post and Move may be called by many goroutines at a time, and before Run.
+// Courier posts notices to the agent until it has taken them. Post and Move may be called by many goroutines at a time, before Run and after it.
 type Courier[T any] struct {
 	dial         DialFunc
 	log          *slog.Logger
@@ -144,6 +144,8 @@
 
 // closeLate closes connections that came up when the loop had ended.
 func (c *Courier[T]) closeLate() {
+	c.mu.Lock() // notices may still come
+	defer c.mu.Unlock()
 	for _, e := range c.inbox {
 		if d, ok := e.(dialled); ok && d.err == nil {
 			d.nc.Close()
--- a/internal/node/notices/courier_test.go
+++ b/internal/node/notices/courier_test.go
@@ -169,3 +169,24 @@
 		})
 	}
 }
+
+// Guards against a race of the last notices with a courier that ends.
+func TestNoticesMayComeWhileTheCourierEnds(t *testing.T) {
+	refused := func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
+	for range 50 {
+		c := New("agent:1", 4, refused, slog.New(slog.DiscardHandler), func([]int) {})
+		ctx, cancel := context.WithCancel(t.Context())
+		var posting sync.WaitGroup
+		posting.Go(func() {
+			for i := range 100 {
+				c.Post([]*Entry[int]{{Value: i, Line: Line("m", "failed", 0)}})
+			}
+			cancel()
+			for i := range 100 {
+				c.Post([]*Entry[int]{{Value: i, Line: Line("m", "failed", 0)}})
+			}
+		})
+		c.Run(ctx)
+		posting.Wait()
+	}
+}
