Soak: an end may be as late as the machine stood still

A bound of 350 ms can not be judged over a time in which nothing ran.

Change: what the rig was woken late by, from 20 ms on, since the message was due is added to its bound. No bound is changed for a machine that runs.

--- a/internal/faults/soak/history.go
+++ b/internal/faults/soak/history.go
@@ -76,8 +76,15 @@
 	breaches []Breach
 	counts   Counts
 	late     time.Duration // that this process was last woken after its time
+	stalls   []stall
 }
 
+// stall is a time in which this process was not woken although it was to be: the machine ran neither it nor, most likely, the nodes.
+type stall struct{ from, to time.Duration }
+
+// leastStall is how late a process may be woken on a machine that runs.
+const leastStall = 20 * time.Millisecond
+
 // Counts are how often things happened.
 type Counts struct {
 	Handed, Taken, Refused, Failed, Unanswered, Resent, Delivered, Returned, Lost int
@@ -110,11 +117,25 @@
 	h.breaches = append(h.breaches, Breach{rule, h.play.now(), text})
 }
 
-// wokenLate notes how late this process was woken: what it counts against a time may be as late.
-func (h *history) wokenLate(by time.Duration) {
+// wokenLate notes how late this process was woken now: what it counts against a time may be as late.
+func (h *history) wokenLate(now, by time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.late = by
+	if by >= leastStall {
+		h.stalls = append(h.stalls, stall{now - by, now})
+	}
+}
+
+// stalledSince is for how long the machine has stood still since a moment. The lock is held.
+func (h *history) stalledSince(from time.Duration) (sum time.Duration) {
+	for _, s := range slices.Backward(h.stalls) {
+		if s.to <= from {
+			break
+		}
+		sum += s.to - max(s.from, from)
+	}
+	return sum
 }
 
 func (h *history) count(f func(*Counts)) {
@@ -321,6 +342,7 @@
 			continue
 		}
 		late := m.due + lostSlack + ruleSlack
+		late += h.stalledSince(m.due) // the rule is one for a machine that runs
 		for _, s := range h.away {
 			if s.node == m.node && s.from <= late {
 				if s.to == 0 {
--- a/internal/faults/soak/play.go
+++ b/internal/faults/soak/play.go
@@ -414,7 +414,8 @@
 		case <-ctx.Done():
 			return
 		}
-		p.history.wokenLate(p.now() - asked - every)
+		woken := p.now()
+		p.history.wokenLate(woken, woken-asked-every)
 		p.notices()
 		p.history.overdue(false)
 		if i%20 == 0 {
