A notice that is answered late is logged, with its posts and its connection

Change: a line with how long it was owed, how often it was posted, how long the post took that was answered, and of what kind and age its connection is.

--- a/internal/node/notices/conn.go
+++ b/internal/node/notices/conn.go
@@ -37,6 +37,7 @@
 	blamed  bool          // it was silent while a new one answered
 	answers int
 	took    time.Duration // until the last of them
+	since   time.Duration // when it came up
 	good    time.Duration // when it came up, or answered last
 	over    bool
 }
--- a/internal/node/notices/courier.go
+++ b/internal/node/notices/courier.go
@@ -34,7 +34,8 @@
 	hungRedial  = 200 * time.Millisecond // beside a dial that hangs; it doubles with each further one
 
 	distrustFor = time.Minute            // without a proof, after a response too many
-	lateNotice  = 500 * time.Millisecond // one without an answer for longer is logged
+	lateNotice  = 500 * time.Millisecond // one without an answer for longer is logged,
+	lateAnswer  = 150 * time.Millisecond // as is one that is answered later than this
 	logEvery    = time.Second
 )
 
@@ -198,7 +199,7 @@
 	case d.addr != c.addr:
 		d.nc.Close()
 	default:
-		k := &conn[T]{Conn: d.nc, addr: d.addr, good: c.now()}
+		k := &conn[T]{Conn: d.nc, addr: d.addr, since: c.now(), good: c.now()}
 		c.conns = append(c.conns, k)
 		beside.Go(func() { c.read(k) })
 	}
@@ -237,6 +238,11 @@
 	c.compare(k, now)
 	p, proven := k.posts[0], !k.used
 	k.posts = k.posts[1:]
+	if waited, tries := p.waited(now); waited >= lateAnswer {
+		c.log.Info("a notice was answered late", "owed_for", waited.Round(time.Millisecond), "count", p.Len(), "tries", tries,
+			"post_took", (now - p.at).Round(time.Millisecond), "kept_connection", k.used, "connection_age", (now - k.since).Round(time.Millisecond),
+			"posts_without_answer", c.countBusy(), "dials", len(c.dials))
+	}
 	k.used, k.good, k.took, c.vain = true, now, now-p.at, 0
 	k.answers++
 	if k.busy() {
--- a/internal/node/notices/schedule.go
+++ b/internal/node/notices/schedule.go
@@ -67,6 +67,16 @@
 // Len is the number of notices in it.
 func (p *Post[T]) Len() int { return len(p.entries) }
 
+// waited is for how long the notices in a post that have no answer yet have been owed at the longest, and how often that one was posted.
+func (p *Post[T]) waited(now time.Duration) (longest time.Duration, tries int) {
+	for _, e := range p.entries {
+		if waited := now - e.came; !e.over && !e.answered && waited > longest {
+			longest, tries = waited, e.tries
+		}
+	}
+	return longest, tries
+}
+
 // Body is what is posted: an object a line.
 func (p *Post[T]) Body() []byte {
 	var b []byte
