A message handed in again after its end is answered by that end

What callers would see: a client whose connection broke over the answer hands its request in once more under its id, hears that it is taken on, and no end follows: the message counts as lost, never called.

Change: where IDs are new (the daemon's front) a returned message is refused and a failed one fails; a delivered one and one that has not ended are answered as taken on, as before. A line of the log tells of each. The test of a returned message's copy held that it is answered as taken on, which is the fault; its successor holds that it has no effect, and what each state is answered.

--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -132,11 +132,17 @@
 	case p != nil && fresh[p.num()] != nil: // its fate is not known yet
 		fresh[p.num()] = append(fresh[p.num()], a)
 		return nil
-	case p != nil, a.reply != nil && a.life == nil && n.ended.has(name, n.now()):
-		// Taken on before: handed in again it has no second effect.
+	}
+	if state, ended := n.endedAs(a, p); ended {
+		n.answerRepeat(a, state)
+		return nil
+	}
+	_, refused := n.refused.look(name, n.now())
+	switch {
+	case p != nil: // taken on before: handed in again it has no second effect
 		n.acts = append(n.acts, act{do: func() { a.reply <- Answer{} }})
 		return nil
-	case a.reply != nil && a.life == nil && n.refused.has(name, n.now()):
+	case a.reply != nil && a.life == nil && refused:
 		a.answer(n.turnAway(a, TurnedByRepeat))
 		return nil
 	case a.Class < 0 || a.Class >= len(n.cfg.Settings.Classes):
--- a/delivery/repeats.go
+++ b/delivery/repeats.go
@@ -13,7 +13,7 @@
 
 // recentEnds remembers the messages that ended, or were refused, a short while ago, by front and id as ref has them. It is for one goroutine.
 type recentEnds struct {
-	known map[string]bool
+	known map[string]State
 	queue [repeatMost]recentEnd // a ring, oldest first
 	first int
 	count int
@@ -25,27 +25,28 @@
 	at   time.Duration
 }
 
-// add notes that a message has ended now.
-func (r *recentEnds) add(name string, now time.Duration) {
+// add notes that a message has ended now, and how.
+func (r *recentEnds) add(name string, state State, now time.Duration) {
 	r.expire(now)
-	if r.known[name] {
+	if _, known := r.known[name]; known {
 		return
 	}
 	if r.count == repeatMost {
 		r.drop()
 	}
 	if r.known == nil {
-		r.known = map[string]bool{}
+		r.known = map[string]State{}
 	}
-	r.known[name] = true
+	r.known[name] = state
 	r.queue[(r.first+r.count)%repeatMost] = recentEnd{name, now}
 	r.count++
 }
 
-// has tells whether a message ended within repeatMemory.
-func (r *recentEnds) has(name string, now time.Duration) bool {
+// look tells whether a message ended within repeatMemory, and how.
+func (r *recentEnds) look(name string, now time.Duration) (state State, known bool) {
 	r.expire(now)
-	return r.known[name]
+	state, known = r.known[name]
+	return state, known
 }
 
 // expire drops what ended longer ago than repeatMemory.
@@ -66,7 +67,34 @@
 // noteRefused remembers a message that was not taken on, so that a copy of it on its way is not taken on either.
 func (n *Engine) noteRefused(front, id string) {
 	if n.fronts[front].NewIDs {
-		n.refused.add(ref(front, id), n.now())
+		n.refused.add(ref(front, id), Refused, n.now())
+	}
+}
+
+// endedAs tells whether a message that is handed in again has ended, be it that its end is not acknowledged yet, and how.
+func (n *Engine) endedAs(a arrival, p *past) (state State, ended bool) {
+	switch {
+	case a.reply == nil || a.life != nil:
+		return 0, false
+	case p != nil && p.ended != nil:
+		return p.ended.state, true
+	case p != nil:
+		return 0, false
+	}
+	return n.ended.look(ref(a.front.Name, a.ID), n.now())
+}
+
+// answerRepeat answers a message that was taken on before and has ended, with no second effect. Whoever hears that it is taken on waits for
+// an end from then on: where IDs are new, one that was not delivered is answered by its end.
+func (n *Engine) answerRepeat(a arrival, state State) {
+	n.log.Info("message handed in again", "message", a.ID, "class", a.Class, "destination", a.Dest, "ended", state.String())
+	switch {
+	case !a.front.NewIDs || state == Delivered:
+		n.acts = append(n.acts, act{do: func() { a.reply <- Answer{} }})
+	case state == Returned:
+		a.answer(n.turnAway(a, TurnedByRepeat))
+	default:
+		a.answer(Answer{Failed: "the message failed"})
 	}
 }
 
@@ -74,7 +102,7 @@
 // again under that, unless its front has new IDs.
 func (n *Engine) forgetEnded(p *past, state State) {
 	if !p.again() && (state != Returned || n.fronts[p.front].NewIDs) {
-		n.ended.add(ref(p.front, p.id), n.now())
+		n.ended.add(ref(p.front, p.id), state, n.now())
 	}
 	n.forget(p)
 }
--- a/delivery/repeats_test.go
+++ b/delivery/repeats_test.go
@@ -57,12 +57,12 @@
 		for range rapid.IntRange(1, 3000).Draw(rt, "ends") {
 			now += time.Duration(rapid.IntRange(0, 40).Draw(rt, "pause")) * time.Millisecond
 			name := fmt.Sprint(len(order))
-			r.add(name, now)
+			r.add(name, Delivered, now)
 			ended[name], order = now, append(order, name)
 		}
 		for i, name := range order {
 			want := now-ended[name] <= repeatMemory && len(order)-i <= repeatMost
-			if r.has(name, now) != want {
+			if _, known := r.look(name, now); known != want {
 				rt.Fatalf("%s of %d, ended %v ago: remembered %v", name, len(order), now-ended[name], !want)
 			}
 		}
@@ -90,17 +90,34 @@
 	}
 }
 
-// Guards against a copy of a request that runs after its message was returned as not done.
-func TestACopyOfARequestThatWasReturnedHasNoEffect(t *testing.T) {
-	n := bare(t, newCarrier(pass), held()) // nothing is sent
-	n.fronts[""].NewIDs = true
-	n.take(t.Context(), []any{n.handIn("a", 50*time.Second)})
-	p := n.messages["a"]
-	n.finish(p, ending{state: Returned}, nil, true)
-	n.take(t.Context(), []any{settled{{ID: "a", State: Returned, of: p}}})
-	again := n.handIn("a", 50*time.Second)
-	n.take(t.Context(), []any{again})
-	if answer := <-again.reply; answer != (Answer{}) || n.messages["a"] != nil {
-		t.Errorf("got %+v, held %v", answer, n.messages["a"])
+// Guards against a message that is handed in again after its end, is answered as taken on, and never ends for whoever heard that.
+func TestAMessageHandedInAgainAfterItsEndIsAnsweredByIt(t *testing.T) {
+	for _, c := range []struct {
+		state        State
+		acknowledged bool
+		want         func(Answer) bool
+	}{
+		{Returned, false, func(a Answer) bool { return a.Refused }},
+		{Returned, true, func(a Answer) bool { return a.Refused }},
+		{Failed, false, func(a Answer) bool { return a.Failed != "" }},
+		{Failed, true, func(a Answer) bool { return a.Failed != "" }},
+		{Delivered, true, func(a Answer) bool { return a == Answer{} }},
+	} {
+		n := bare(t, newCarrier(pass), held()) // nothing is sent
+		n.fronts[""].NewIDs = true
+		n.take(t.Context(), []any{n.handIn("a", 50*time.Second)})
+		p := n.messages["a"]
+		n.finish(p, ending{state: c.state}, nil, true)
+		if c.acknowledged {
+			n.take(t.Context(), []any{settled{{ID: "a", State: c.state, of: p}}})
+		}
+		again := n.handIn("a", 50*time.Second)
+		n.take(t.Context(), []any{again})
+		if answer := <-again.reply; !c.want(answer) {
+			t.Errorf("%v, acknowledged %v: got %+v", c.state, c.acknowledged, answer)
+		}
+		if now := n.messages["a"]; now != nil && (now != p || c.acknowledged) {
+			t.Errorf("%v, acknowledged %v: it was taken on anew", c.state, c.acknowledged)
+		}
 	}
 }
