Review: the stand-ins tell for sure whether a node's process has ended

Cause: a look with no time to wait could miss a process that had ended. Change: review/rig looks at the process's end first.

--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -314,6 +314,14 @@
 	n.mu.Lock()
 	ended := n.ended
 	n.mu.Unlock()
+	if most <= 0 {
+		select {
+		case <-ended:
+			return true
+		default:
+			return false
+		}
+	}
 	select {
 	case <-ended:
 		return true
