--- a/review/1/main.go
+++ b/review/1/main.go
@@ -18,9 +18,11 @@
 
 const (
 	partners = 10
-	work     = 60 * time.Millisecond // of a call at an endpoint
-	clump    = 16                    // messages that come together for one partner
-	gap      = time.Millisecond      // between an answer and its copy
+	struck   = 3                       // that hang at a time, three times
+	work     = 60 * time.Millisecond   // of a call at an endpoint
+	clump    = 16                      // messages that come together for one partner
+	gap      = time.Millisecond        // between an answer and its copy
+	apart    = 1500 * time.Millisecond // between the clumps for two partners
 	hangFor  = 7 * time.Second
 	life     = 8000 // of a message, in milliseconds
 	lateness = 300*time.Millisecond + 50*time.Millisecond
@@ -108,10 +110,12 @@
 	send := func(dest, count int) {
 		var all sync.WaitGroup
 		for range count {
+			mu.Lock()
 			number++
 			id := fmt.Sprintf("m%04d", number)
 			m := &message{class: []string{"coin-order", "prize-payout"}[number%2], due: time.Now().Add(life * time.Millisecond)}
 			messages[id] = m
+			mu.Unlock()
 			all.Go(func() {
 				fields := fmt.Sprintf("c=%s,d=%d,dest=%d", m.class, life, dest)
 				if m.class == "coin-order" {
@@ -135,9 +139,12 @@
 		send(i+1, 1)
 	}
 	time.Sleep(time.Second)
-	for i := range partners {
-		send(i+1, clump)
-		time.Sleep(hangFor + time.Second)
+	for first := 0; first+struck <= partners; first += struck {
+		for i := first; i < first+struck; i++ {
+			send(i+1, clump)
+			time.Sleep(apart)
+		}
+		time.Sleep(hangFor + 2*time.Second)
 	}
 	time.Sleep(life*time.Millisecond + time.Second)
 	if !n.Alive() {
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -17,8 +17,8 @@
 	every    = 40 * time.Millisecond // a message
 	life     = 8000                  // of a message, in milliseconds
 	quiet    = 5 * time.Second
-	hangFor  = 12 * time.Second
-	outages  = 4
+	hangFor  = 18 * time.Second
+	outages  = 3
 )
 
 func main() {
