--- a/review/3/main.go
+++ b/review/3/main.go
@@ -16,9 +16,12 @@
 	partners = 8                     // two of which hang at a time: a quarter of the traffic
 	every    = 40 * time.Millisecond // a message
 	life     = 8000                  // of a message, in milliseconds
-	quiet    = 5 * time.Second
-	hangFor  = 18 * time.Second
+	quiet    = 8 * time.Second
+	hangFor  = 12 * time.Second
 	outages  = 3
+
+	clump      = 6  // messages for one partner at once,
+	clumpEvery = 30 // after so many others: 17 percent of all
 )
 
 func main() {
@@ -38,12 +41,31 @@
 		})})
 	n.Start()
 	peak := rig.WatchFolder(n.State)
-	// Clients hand messages in one by one, for each partner in turn.
+	// Clients hand messages in one by one, for each partner in turn, and now and then several at once.
 	stop := make(chan struct{})
+	draw := rand.New(rand.NewPCG(64, 1))
+	names := 0
+	var answering sync.WaitGroup
+	send := func(dest, count int) {
+		for range count {
+			id := names
+			names++
+			body := strings.Repeat("x", 48<<10+draw.IntN(16<<10+1))
+			answering.Go(func() {
+				line := "no connection"
+				if c, err := rig.Dial(n.Config.Listen); err == nil {
+					c.Write(rig.Enqueue(fmt.Sprintf("m-%05d", id), fmt.Sprintf("c=coin-order,d=%d,k=k-%05d,dest=%d", life, id, dest), body))
+					if line, err = c.Answer(400 * time.Millisecond); err != nil {
+						line = err.Error()
+					}
+					c.Close()
+				}
+				r.Add("client: m-%05d with %d bytes for destination %d: %s", id, len(body), dest, line)
+			})
+		}
+	}
 	var clients sync.WaitGroup
 	clients.Go(func() {
-		draw := rand.New(rand.NewPCG(64, 1))
-		var answering sync.WaitGroup
 		defer answering.Wait()
 		tick := time.NewTicker(every)
 		defer tick.Stop()
@@ -53,18 +75,10 @@
 				return
 			case <-tick.C:
 			}
-			body := strings.Repeat("x", 48<<10+draw.IntN(16<<10+1))
-			answering.Go(func() {
-				line := "no connection"
-				if c, err := rig.Dial(n.Config.Listen); err == nil {
-					c.Write(rig.Enqueue(fmt.Sprintf("m-%05d", number), fmt.Sprintf("c=coin-order,d=%d,k=k-%05d,dest=%d", life, number, number%partners), body))
-					if line, err = c.Answer(400 * time.Millisecond); err != nil {
-						line = err.Error()
-					}
-					c.Close()
-				}
-				r.Add("client: m-%05d with %d bytes for destination %d: %s", number, len(body), number%partners, line)
-			})
+			send(number%partners, 1)
+			if number%clumpEvery == clumpEvery-1 {
+				send(number/clumpEvery%partners, clump)
+			}
 		}
 	})
 	for i := range outages {
