--- a/review/rig/agent.go
+++ b/review/rig/agent.go
@@ -23,8 +23,6 @@
 	changes []List
 	news    chan struct{} // closed when there is a change
 	notices map[string]Notice
-	refuse  bool
-	open    map[net.Conn]bool
 }
 
 // Notice is the end of a message.
@@ -42,19 +40,11 @@
 		Quit(r, NotRun, "%v", err)
 	}
 	a := &Agent{Addr: ln.Addr().String(), record: r, ln: ln, list: List{Revision: 1, Complete: true, Members: members},
-		news: make(chan struct{}), notices: map[string]Notice{}, open: map[net.Conn]bool{}}
+		news: make(chan struct{}), notices: map[string]Notice{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /registry/instances", a.instances)
 	mux.HandleFunc("POST /reports", a.reports)
-	a.server = &http.Server{Handler: mux, ConnState: func(c net.Conn, s http.ConnState) {
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if s == http.StateClosed || s == http.StateHijacked {
-			delete(a.open, c)
-		} else {
-			a.open[c] = true
-		}
-	}}
+	a.server = &http.Server{Handler: mux}
 	go a.server.Serve(ln)
 	return a
 }
--- a/review/rig/endpoint.go
+++ b/review/rig/endpoint.go
@@ -15,7 +15,6 @@
 	ID     string
 	Key    string
 	Body   int
-	Sum    uint32
 	Path   string
 	Number int // among the endpoint's calls, from 0
 	Conn   int // of the endpoint's connections
@@ -35,7 +34,6 @@
 	reply  Reply
 	calls  []Call
 	conns  int
-	open   map[net.Conn]bool
 }
 
 // NewEndpoint serves at a free address.
@@ -44,7 +42,7 @@
 	if err != nil {
 		Quit(r, NotRun, "%v", err)
 	}
-	e := &Endpoint{Addr: ln.Addr().String(), record: r, ln: ln, reply: reply, open: map[net.Conn]bool{}}
+	e := &Endpoint{Addr: ln.Addr().String(), record: r, ln: ln, reply: reply}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -54,7 +52,6 @@
 			e.mu.Lock()
 			e.conns++
 			number := e.conns
-			e.open[c] = true
 			e.mu.Unlock()
 			go e.serve(c, number)
 		}
@@ -77,12 +74,7 @@
 }
 
 func (e *Endpoint) serve(c net.Conn, number int) {
-	defer func() {
-		c.Close()
-		e.mu.Lock()
-		delete(e.open, c)
-		e.mu.Unlock()
-	}()
+	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
 		q, err := http.ReadRequest(in)
--- a/review/rig/proxy.go
+++ b/review/rig/proxy.go
@@ -62,7 +62,6 @@
 type piece struct {
 	due   time.Time
 	bytes []byte
-	reset bool
 }
 
 func (p *Proxy) pass(from, to *net.TCPConn) {
