The rig's program with failing system calls builds on arm64 as well

Need: the soak builds a program in which system calls fail, by an overlay of package syscall's wrappers. It named the amd64 file alone, so on arm64 each wrapper was declared twice and no test of the soak could run ("openat redeclared").

Change: the file's name goes by the architecture of the tool chain that builds.

--- a/internal/faults/calls.go
+++ b/internal/faults/calls.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"time"
 )
@@ -204,7 +205,8 @@
 // callOverlay has system calls of a program fail as its environment says.
 func callOverlay(root string) (map[string]string, error) {
 	at := filepath.Join(root, "src", "syscall")
-	source, err := os.ReadFile(filepath.Join(at, "zsyscall_linux_amd64.go"))
+	wrappers := filepath.Join(at, "zsyscall_linux_"+runtime.GOARCH+".go")
+	source, err := os.ReadFile(wrappers)
 	if err != nil {
 		return nil, err
 	}
@@ -216,5 +218,5 @@
 		}
 		text = strings.Replace(text, line, "\nfunc rigTrue"+strings.ToUpper(name[:1])+name[1:]+"(", 1)
 	}
-	return map[string]string{filepath.Join(at, "zsyscall_linux_amd64.go"): text, filepath.Join(at, "failing.go"): failing}, nil
+	return map[string]string{wrappers: text, filepath.Join(at, "failing.go"): failing}, nil
 }
