Silence behind a copy of a response is no proof of delivery

Cause: a connection took its next call the moment a response had come. A copy of that response then met the call; it was known as a possible copy, but "nothing more comes" was believed to prove it. A server that hangs behind the copy is as quiet. Beside it, the next call on a connection settled the undecided one before by its mere begin (pool.take), and with the pool full an undecided response counted at once (keepUndecided).

With a tracker that believes silence the model test fails.

Mend: a copy comes right behind its original. A connection rests for 250 ms, with a look for unread bytes, before it takes a call, unless the endpoint's responses differ or name their messages; only then silence proves a response. Any other undecided call may have run. A call that must not run twice goes on no connection without rest. What a call before is settled by is the next response.

Tests: the pool of tests has no rest (their checks are as they were), and the guard on connections without number is played with and without one. TestAfterALooseRequestNothingIsCertain takes the place of ...NothingIsCertainUntilQuiet: after such a request quiet makes nothing certain either.

--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -317,3 +317,16 @@
 	}
 	return d
 }
+
+// hangDay is a day on which responses are alike, and servers hang right behind a response that comes again.
+func hangDay(seed uint64) *Day {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	nodes := 2 + rng.IntN(3)
+	d := Draw(seed, nodes, 8, 20*float64(nodes), 16*time.Second)
+	for i := range d.Classes {
+		d.Classes[i].Deadline = 4 * time.Second
+	}
+	d.Plain = true
+	d.Streams = Streams{Share: []float64{0.01, 0.03}[rng.IntN(2)], Faults: []StreamFault{CopyBeforeHang}}
+	return d
+}
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -33,7 +33,8 @@
 	open    map[net.Conn]bool // true for one that is forgotten
 	ill     Kind              // while out
 	out     bool
-	losing  bool // its answers
+	losing  bool          // its answers
+	hangs   time.Duration // until when it answers nothing, with nobody told; it is not cold afterwards
 	fell    bool
 	back    time.Duration // when it came back from its last outage; 0 if it had none
 	told    map[int]bool  // nodes that were told of the outage
@@ -343,6 +344,11 @@
 		s.mu.Unlock()
 		return s.answerOut(nc, kind, node)
 	}
+	if now < s.hangs {
+		s.mu.Unlock()
+		io.Copy(io.Discard, nc) // until the caller gives up
+		return false
+	}
 	s.arrived(now, id, node)
 	if s.fell {
 		s.mu.Unlock()
@@ -380,8 +386,12 @@
 	s.play.history.runs(id, s.number, now)
 	time.Sleep(took) // a server that is at work
 	s.mu.Lock()
-	out := s.out || s.fell || s.losing
+	out, hangs := s.out || s.fell || s.losing, s.play.now() < s.hangs
 	s.mu.Unlock()
+	if hangs {
+		io.Copy(io.Discard, nc) // it has run, and its caller is never told
+		return false
+	}
 	if out {
 		resetConn(nc.Conn)
 		return false
@@ -395,6 +405,13 @@
 	return err == nil
 }
 
+// hangFor has the server answer nothing for a while.
+func (s *server) hangFor(span time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hangs = max(s.hangs, s.play.now()+span)
+}
+
 // answerOut answers a call while the server is out.
 func (s *server) answerOut(nc *stream, kind Kind, node int) bool {
 	switch kind {
--- a/internal/faults/soak/soak_test.go
+++ b/internal/faults/soak/soak_test.go
@@ -159,6 +159,11 @@
 	playSeeds(t, []uint64{1, 2, 3}, streamDay)
 }
 
+// TestServersThatHangBehindACopyLoseNothing guards against silence behind a copy of a response that is taken for a proof of delivery.
+func TestServersThatHangBehindACopyLoseNothing(t *testing.T) {
+	playSeeds(t, []uint64{2, 3}, hangDay)
+}
+
 // TestRequestsThatComeAgainHaveNoSecondEffect guards against a copy of a client's request that runs after its client was refused.
 func TestRequestsThatComeAgainHaveNoSecondEffect(t *testing.T) {
 	playSeeds(t, []uint64{1, 2}, func(seed uint64) *Day {
--- a/internal/faults/soak/stream.go
+++ b/internal/faults/soak/stream.go
@@ -22,6 +22,7 @@
 	Pieces                            // a response comes byte by byte
 	Endless                           // a response comes again and again, while the connection stands and for 3 s at most
 	streamFaults
+	CopyBeforeHang // a response comes again right behind itself, and its server answers nothing for a while from then on
 )
 
 var streamFaultNames = [streamFaults]string{"copy at rest", "copy after the next request", "copy of an older response", "several copies",
@@ -29,8 +30,11 @@
 
 // String names the fault.
 func (f StreamFault) String() string {
-	if f < streamFaults {
+	switch {
+	case f < streamFaults:
 		return streamFaultNames[f]
+	case f == CopyBeforeHang:
+		return "copy before a hang"
 	}
 	return "unknown"
 }
@@ -40,6 +44,9 @@
 	longestAfterNext = 6 * time.Millisecond   // until a copy comes after the next request
 	pieceEvery       = 200 * time.Microsecond
 	longestEndless   = 3 * time.Second
+	longestBehind    = 20 * time.Millisecond // until a copy comes before a hang
+	leastHang        = 1500 * time.Millisecond
+	mostHang         = 7 * time.Second
 )
 
 // Streams tells how often responses of a server are tampered with on their way, and by which faults.
@@ -114,7 +121,7 @@
 func (s *stream) Write(b []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f, ok := s.draw(CopyAtRest, PartBeforeNext, Informational, Pieces, Endless)
+	f, ok := s.draw(CopyAtRest, PartBeforeNext, Informational, Pieces, Endless, CopyBeforeHang)
 	var ahead []byte
 	switch {
 	case !ok:
@@ -135,8 +142,12 @@
 	if _, err := s.Conn.Write(append(ahead, b...)); err != nil {
 		return 0, err
 	}
-	if ok && f == Endless {
+	switch {
+	case ok && f == Endless:
 		s.endless(b)
+	case ok && f == CopyBeforeHang:
+		s.after(time.Duration(s.rng.Int64N(int64(longestBehind))), bytes.Clone(b))
+		s.server.hangFor(leastHang + time.Duration(s.rng.Int64N(int64(mostHang-leastHang))))
 	}
 	s.keep(b)
 	return len(b), nil
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -78,7 +78,12 @@
 
 func endpointAt(addr string) *delivery.Endpoint { return delivery.NewEndpoint("e", addr) }
 
-func testPool() *pool { return newPool(2*time.Second, time.Minute, 16, slog.New(slog.DiscardHandler)) }
+// testPool is a pool whose connections need no rest between calls, so that a test may have calls on one connection at once.
+func testPool() *pool {
+	p := restingPool(16)
+	p.restFor = 0
+	return p
+}
 
 // keptBy counts the connections that a pool keeps.
 func keptBy(p *pool) int {
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -31,10 +31,12 @@
 
 	mu        sync.Mutex
 	tracker   pairing.Tracker
-	call      *call // whose response is awaited
-	undecided *call // whose response, the one that came last, may be a copy; nil for none
-	gone      bool  // nothing more comes of it
-	last      *call // that went out on it
+	call      *call     // whose response is awaited
+	undecided *call     // whose response, the one that came last, may be a copy; nil for none
+	previous  *call     // that was undecided when the call went out: the next response tells of it
+	gone      bool      // nothing more comes of it
+	last      *call     // that went out on it
+	heard     time.Time // when the last response came; zero for none yet
 }
 
 // call is a request and what becomes of it.
@@ -43,8 +45,9 @@
 	endpoint *delivery.Endpoint
 	once     bool // it must not run twice
 	request  []byte
-	end      chan callEnd // takes one without blocking
-	answer   answer       // that came; for an undecided call the one that counts if nothing follows
+	end      chan callEnd     // takes one without blocking
+	answer   answer           // that came; for an undecided call the one that counts if nothing follows
+	said     pairing.Response // likewise
 
 	// A call with several messages has them all, and reads their states from the response.
 	all    []delivery.Attempt
@@ -91,6 +94,17 @@
 	}
 }
 
+// followed settles an undecided call by the response that came after the next request. Whichever of both is its own, an equal one says the
+// same; of another one it can't be told.
+func (x *call) followed(r pairing.Response) {
+	if r.Fingerprint != 0 && r == x.said {
+		x.settled(nil)
+		return
+	}
+	a := unknown(errAmbiguous)
+	x.settled(&a)
+}
+
 // unknown is the answer of a call that may have run.
 func unknown(err error) answer {
 	return answer{result: delivery.Result{Outcome: choice.Cut, Err: err}}
@@ -98,6 +112,7 @@
 
 var (
 	errAmbiguous = errors.New("answer: it can't be told which of several responses it is")
+	errUnproven  = errors.New("answer: it may be a copy of the one before, and silence proves nothing")
 	errEarly     = errors.New("the endpoint said something before the request was sent")
 )
 
@@ -125,18 +140,29 @@
 	return r.Conn.Read(b)
 }
 
-// begin has the connection's next response go to a call, and tells whether there can be one. Where the response before was undecided, it
-// is returned: it counts from now on.
-func (k *conn) begin(x *call) (before *call, ok bool) {
+// begin has the connection's next response go to a call, and tells whether there can be one. The connection has rested if nothing has come for
+// so long since the last response.
+func (k *conn) begin(x *call, rest time.Duration) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.gone || k.SetReadDeadline(time.Time{}) != nil {
-		return nil, false
+		return false
+	}
+	rested := k.heard.IsZero() || time.Since(k.heard) >= rest
+	if rested && k.undecided == nil && !k.heard.IsZero() && k.hasUnread() {
+		return false // a copy, or its end, that the reader has not come to
 	}
-	before, k.undecided = k.undecided, nil
+	k.previous, k.undecided = k.undecided, nil
 	k.call = x
-	k.tracker.Request()
-	return before, true
+	k.tracker.Request(rested)
+	return true
+}
+
+// restedFor is for how long no response has come; very long where there was none.
+func (k *conn) restedFor(now time.Time) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Sub(k.heard)
 }
 
 // leave takes a call back of which nothing was written, and tells whether the connection is still good.
@@ -147,7 +173,7 @@
 		k.call = nil
 		k.tracker.Withdraw()
 	}
-	return !k.gone && k.tracker.Reusable()
+	return !k.gone && k.previous == nil && k.tracker.Reusable()
 }
 
 // sends notes that the first byte of a call goes out, unless bytes have come before: those can't be its response.
--- a/internal/node/pairing/pairing.go
+++ b/internal/node/pairing/pairing.go
@@ -35,6 +35,8 @@
 	Named   uint64
 	Pass    bool // it has status 200
 	Foreign bool // its body names none of what the request asked for: it answers another one
+	// Kind is equal for responses whose heads differ in their dates at most; 0 where it is not known.
+	Kind uint64
 }
 
 // Verdict is what a response means for the request that it came for.
@@ -43,7 +45,7 @@
 // The verdicts.
 const (
 	Own       Verdict = iota // it answers the request
-	MayBeCopy                // it answers the request if the connection stays quiet from now on
+	MayBeCopy                // it answers the request, or is a copy of an earlier response: see Quiet
 	Corrected                // it answers the request, for which a copy of an earlier response was taken
 	Ambiguous                // it can't be told which response answers the request
 	Skipped                  // it answers another request; this one's response is still to come
@@ -67,17 +69,23 @@
 // mostSeen is how many different responses are remembered; a connection that has had more is not used again.
 const mostSeen = 256
 
+// mostRecent is of how many responses a copy may still come: they came since the connection was quiet last.
+const mostRecent = 32
+
 // Tracker follows the requests and responses of one connection. The zero value is that of a new connection.
 //
 // It goes by three facts. The first response on a connection is no copy. Where all requests before have had their responses, one
-// that differs from each earlier response is no copy either. And while a request has no response of its own, that response is
-// still to come: a connection that stays quiet has nothing more to say.
+// that differs from each earlier response is no copy either. And a copy follows soon behind its original, or else the server goes on
+// to answer: so a connection that stays quiet after a response has nothing more to say, unless that response equals one which came
+// since the connection was quiet last. Then silence proves nothing, for a server that hangs behind a copy is as quiet.
 type Tracker struct {
 	state   State
 	seen    []uint64 // fingerprints of the responses that came
 	opaque  bool     // a response came whose fingerprint is not known
 	refused bool     // a response other than a pass came
 	exact   bool     // all requests before the one that waits, or is undecided, have had their responses
+	proves  bool     // quiet after the response proves it, for no copy of one that is equal was on its way when its request went out
+	recent  []uint64 // fingerprints of the responses since a request went out on a quiet connection, 0 for one that is not known
 	copies  int      // responses that answered no request, or another one
 	last    bool     // no further request goes out
 	pending Response // Undecided: the response that may be a copy
@@ -97,10 +105,13 @@
 	return t.copies == 0 && !t.last && t.state != OutOfStep && t.state != Waiting && len(t.seen) < mostSeen
 }
 
-// Request notes that a request goes out. One that follows an undecided response leaves that undecided for good, and each response
-// from then on until the connection has been quiet.
-func (t *Tracker) Request() {
+// Request notes that a request goes out. Rested says that the connection had been quiet for as long as a copy of the response before may
+// take to follow it. A request that follows an undecided response leaves that undecided for good, and each response from then on.
+func (t *Tracker) Request(rested bool) {
 	t.exact = t.state != Undecided
+	if rested && t.exact {
+		t.recent = t.recent[:0]
+	}
 	t.state = Waiting
 }
 
@@ -138,6 +149,7 @@
 		}
 		return Skipped
 	}
+	t.proves = t.exact && !t.cameLately(r)
 	t.remember(r)
 	if first || (t.exact && !known) {
 		t.state = InStep
@@ -164,11 +176,18 @@
 // Last notes that no further request goes out.
 func (t *Tracker) Last() { t.last = true }
 
-// Quiet notes that nothing followed an undecided response: it was the request's own.
-func (t *Tracker) Quiet() {
-	if t.state == Undecided {
-		t.state = InStep
+// Quiet notes that nothing followed an undecided response for far longer than a response usually takes, and tells whether that proves it
+// to be the request's own. Otherwise nothing more on the connection can be told apart.
+func (t *Tracker) Quiet() (proven bool) {
+	switch {
+	case t.state != Undecided:
+		return t.state == InStep
+	case !t.proves:
+		t.state = OutOfStep
+		return false
 	}
+	t.state = InStep
+	return true
 }
 
 // knows tells whether a response may be a copy of an earlier one.
@@ -179,7 +198,17 @@
 	return r.Fingerprint == 0 || t.opaque || slices.Contains(t.seen, r.Fingerprint)
 }
 
+// cameLately tells whether a response may be a copy of one that came since the connection was quiet last.
+func (t *Tracker) cameLately(r Response) bool {
+	unknown := r.Fingerprint == 0 && len(t.recent) > 0
+	return unknown || slices.Contains(t.recent, 0) || slices.Contains(t.recent, r.Fingerprint)
+}
+
 func (t *Tracker) remember(r Response) {
+	if len(t.recent) == mostRecent {
+		t.recent = slices.Delete(t.recent, 0, 1)
+	}
+	t.recent = append(t.recent, r.Fingerprint)
 	t.refused = t.refused || !r.Pass
 	t.opaque = t.opaque || r.Fingerprint == 0
 	for _, f := range [...]uint64{r.Fingerprint, r.Named} {
--- a/internal/node/pairing/pairing_test.go
+++ b/internal/node/pairing/pairing_test.go
@@ -14,13 +14,14 @@
 	copies int // on their way
 	own    Response
 	owed   bool // the response of the request that waits has not been sent
+	hangs  bool // the server may never send it; its copies then come right behind their originals alone
 }
 
-// Guards against a copy that is taken for the response of another request, whatever comes in between.
+// Guards against a copy that is taken for the response of another request, whatever comes in between, and whether or not the server hangs.
 func TestNoVerdictContradictsTheTrueResponse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var tracker Tracker
-		var n network
+		n := network{hangs: rapid.Bool().Draw(t, "hangs")}
 		taken, waits := Response{}, false
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
@@ -28,16 +29,19 @@
 				if !tracker.Reusable() || waits || n.owed {
 					continue
 				}
-				tracker.Request()
+				tracker.Request(len(n.onWay) == 0 && rapid.Bool().Draw(t, "rested"))
 				f := uint64(rapid.IntRange(1, 4).Draw(t, "response"))
 				n.own, n.owed, waits = Response{Fingerprint: f, Pass: f < 3}, true, true
 			case 1:
 				if n.owed {
 					n.owed = false
 					n.onWay, n.sent = append(n.onWay, n.own), append(n.sent, n.own)
+					for n.hangs && rapid.Bool().Draw(t, "again") {
+						n.onWay = append(n.onWay, n.own)
+					}
 				}
 			case 2:
-				if len(n.sent) > 0 {
+				if len(n.sent) > 0 && !n.hangs {
 					n.onWay = append(n.onWay, rapid.SampledFrom(n.sent).Draw(t, "copy"))
 				}
 			case 3:
@@ -64,12 +68,11 @@
 					t.Fatalf("verdict %v", v)
 				}
 			case 4:
-				if tracker.State() != Undecided || n.owed || len(n.onWay) > 0 {
+				if tracker.State() != Undecided || (n.owed && !n.hangs) || len(n.onWay) > 0 {
 					continue // the connection is not quiet
 				}
-				tracker.Quiet()
-				if taken != n.own {
-					t.Fatalf("quiet: %v was taken, %v is the request's own", taken, n.own)
+				if tracker.Quiet() && (taken != n.own || n.owed) {
+					t.Fatalf("quiet: %v was taken, %v is the request's own, sent %v", taken, n.own, !n.owed)
 				}
 				waits = false
 			}
@@ -81,21 +84,36 @@
 }
 
 // Guards against a request on a connection that was not quiet, whose responses then count as certain.
-func TestAfterALooseRequestNothingIsCertainUntilQuiet(t *testing.T) {
+func TestAfterALooseRequestNothingIsCertain(t *testing.T) {
 	pass, other := Response{Fingerprint: 1, Pass: true}, Response{Fingerprint: 2}
 	var tracker Tracker
 	var got []Verdict
 	for _, r := range []Response{pass, pass, other} {
-		tracker.Request()
+		tracker.Request(true)
 		got = append(got, tracker.Response(r))
 	}
 	if want := []Verdict{Own, MayBeCopy, MayBeCopy}; !slices.Equal(got, want) {
 		t.Errorf("got %v, want %v", got, want)
 	}
-	tracker.Quiet()
-	tracker.Request()
-	if v := tracker.Response(Response{Fingerprint: 3}); v != Own || !tracker.Reusable() || tracker.OnlyPasses() {
-		t.Errorf("after quiet: %v, %+v", v, tracker)
+	if tracker.Quiet() || tracker.Reusable() || tracker.OnlyPasses() {
+		t.Errorf("quiet has proven the response of a loose request: %+v", tracker)
+	}
+}
+
+// Guards against silence that is taken for a proof where a copy of the response before may still have been on its way.
+func TestQuietProvesOnlyWhatWentOutOnAQuietConnection(t *testing.T) {
+	pass := Response{Fingerprint: 1, Pass: true}
+	for _, rested := range []bool{false, true} {
+		var tracker Tracker
+		tracker.Request(true)
+		tracker.Response(pass)
+		tracker.Request(rested)
+		if v := tracker.Response(pass); v != MayBeCopy {
+			t.Errorf("rested %v: %v", rested, v)
+		}
+		if proven := tracker.Quiet(); proven != rested || tracker.Reusable() != rested {
+			t.Errorf("rested %v: proven %v, %v", rested, proven, tracker.State())
+		}
 	}
 }
 
@@ -105,9 +123,9 @@
 	foreign := Response{Fingerprint: 1, Pass: true, Foreign: true}
 	for name, more := range map[string]Response{"equal": pass, "of other messages": foreign} {
 		var tracker Tracker
-		tracker.Request()
+		tracker.Request(true)
 		tracker.Response(pass)
-		tracker.Request()
+		tracker.Request(true)
 		n := 0
 		for tracker.State() != OutOfStep && n < 100 {
 			n++
@@ -122,9 +140,9 @@
 // Guards against taking the response to other messages for that of a call, and against believing one that can't be told apart.
 func TestForeignAndOpaqueResponses(t *testing.T) {
 	var tracker Tracker
-	tracker.Request()
+	tracker.Request(true)
 	tracker.Response(Response{Fingerprint: 1, Pass: true})
-	tracker.Request()
+	tracker.Request(true)
 	if v := tracker.Response(Response{Fingerprint: 1, Pass: true, Foreign: true}); v != Skipped || tracker.State() != Waiting {
 		t.Errorf("foreign: %v, %v", v, tracker.State())
 	}
@@ -133,13 +151,13 @@
 	}
 	var opaque Tracker
 	for i, want := range []Verdict{Own, MayBeCopy} {
-		opaque.Request()
+		opaque.Request(true)
 		if v := opaque.Response(Response{}); v != want {
 			t.Errorf("opaque %d: %v, want %v", i, v, want)
 		}
 		opaque.Quiet()
 	}
-	opaque.Request()
+	opaque.Request(true)
 	opaque.Withdraw()
 	if opaque.State() != InStep {
 		t.Errorf("withdrawn: %v", opaque.State())
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -22,8 +22,10 @@
 
 const (
 	idleMargin = 400 * time.Millisecond // an endpoint's idle clock may be ahead of ours by a response's way
-	// mostUndecided is how many connections to an endpoint wait for quiet before one of them takes a call without it.
+	// mostUndecided is how many connections to an endpoint rest, or wait for quiet, before one of them takes a call without it.
 	mostUndecided = 16
+	// copySpan is for how long a copy of a response may follow it: what a server takes to write it, and a lost packet to be sent again.
+	copySpan = 250 * time.Millisecond
 	// scarceFor is for how long an endpoint's places count as scarce after all its connections were given back twice in that time. Then
 	// each call has a connection of its own: one that waits for quiet holds its place for longer than the call.
 	scarceFor = 5 * time.Second
@@ -42,6 +44,7 @@
 	connect connectFunc
 	idleFor time.Duration
 	maxIdle int
+	restFor time.Duration // until a connection that had a response takes another call, where responses may be alike
 	log     *slog.Logger
 
 	mu         sync.Mutex
@@ -50,10 +53,11 @@
 	undecided  map[string][]*conn // by endpoint, those that wait for quiet; the first one has waited for longest
 	waiting    int                // of undecided
 	took       map[string]time.Duration
-	distrusted expiring // endpoints that said too much
-	givenBack  expiring // endpoints whose connections were all given back lately
-	scarce     expiring // those at which that happened twice
-	surpluses  int      // responses that answered no call, or were taken for another's
+	variety    map[string]*pairing.Variety // of the responses of each endpoint
+	distrusted expiring                    // endpoints that said too much
+	givenBack  expiring                    // endpoints whose connections were all given back lately
+	scarce     expiring                    // those at which that happened twice
+	surpluses  int                         // responses that answered no call, or were taken for another's
 }
 
 func newPool(dialTimeout, connIdle time.Duration, maxIdle int, log *slog.Logger) *pool {
@@ -62,7 +66,8 @@
 	}
 	return &pool{
 		connect: (&net.Dialer{Timeout: dialTimeout}).DialContext, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
-		log: log, idle: map[string][]*conn{}, undecided: map[string][]*conn{}, took: map[string]time.Duration{},
+		restFor: copySpan, log: log, idle: map[string][]*conn{}, undecided: map[string][]*conn{}, took: map[string]time.Duration{},
+		variety: map[string]*pairing.Variety{},
 	}
 }
 
@@ -171,7 +176,7 @@
 	}
 	c.Times.Connect()
 	k = newConn(nc, c.Endpoint.ID, c.Endpoint.Addr)
-	if _, ok := k.begin(x); !ok {
+	if !k.begin(x, p.restFor) {
 		k.Close()
 		return nil, false, fmt.Errorf("a new connection: %w", net.ErrClosed)
 	}
@@ -211,51 +216,68 @@
 	return min(max(quietFactor*usual, leastQuiet), mostQuiet)
 }
 
-// take returns a kept connection that is still good, the one used last, with the call begun on it; or nil. One on which a refusal came
-// is not for a call that must not run twice: a copy of the refusal would have it sent again.
+// take returns a kept connection that is still good, with the call begun on it; or nil.
 func (p *pool) take(e *delivery.Endpoint, x *call) *conn {
 	for {
-		k := p.pick(e.ID, x.once)
+		k := p.pick(e.ID, x)
 		if k == nil {
 			return nil
 		}
-		if k.addr == e.Addr {
-			before, ok := k.begin(x)
-			if before != nil {
-				before.settled(nil)
-			}
-			if ok {
-				return k
-			}
+		if k.addr == e.Addr && k.begin(x, p.restFor) {
+			return k
+		}
+		if !k.hasUnread() { // its reader ends one that has said something unasked
+			k.Close()
 		}
-		k.Close()
 	}
 }
 
-// pick takes a kept connection out. Where many wait for quiet and none is idle, the one that has waited for longest has to do.
-func (p *pool) pick(id string, once bool) *conn {
+// pick takes a kept connection for a call out, the one used last that serves. Where none does, the endpoint gets one more, until it has as many
+// as are kept; then the one that has been quiet for longest has to do.
+func (p *pool) pick(id string, x *call) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	kept := p.idle[id]
+	kept, now := p.idle[id], time.Now()
 	for i := len(kept) - 1; i >= 0; i-- {
-		if k := kept[i]; !once || !k.mixed {
+		if k := kept[i]; p.serves(k, x, now) {
 			p.drop(id, i)
 			return k
 		}
 	}
-	if len(kept) > 0 {
-		p.closeFirst(id) // the new one takes its place
-		return nil
-	}
 	waiting := p.undecided[id]
-	if len(waiting) == 0 || (len(waiting) < mostUndecided && p.size+p.waiting < p.maxIdle) {
+	count := len(kept) + len(waiting)
+	room := count < mostUndecided && p.size+p.waiting < p.maxIdle
+	switch unmixed := slices.IndexFunc(kept, func(k *conn) bool { return !x.once || !k.mixed }); {
+	case count == 0, room && (unmixed >= 0 || len(kept) == 0):
+		return nil
+	case x.once: // it must not meet a copy
+		p.closeFirst(id) // the new one takes its place
 		return nil
+	case len(kept) > 0:
+		k := kept[0]
+		p.drop(id, 0)
+		return k
 	}
 	k := waiting[0]
 	p.dropUndecided(k)
 	return k
 }
 
+// serves tells whether a kept connection is good for a call. One on which a refusal came is not for a call that must not run twice: a copy of
+// the refusal would have it sent again. One that had a response a moment ago is not where a copy of that could not be told from the next
+// response: responses that differ can be, and those that name their messages. The lock is held.
+func (p *pool) serves(k *conn, x *call, now time.Time) bool {
+	if x.once && k.mixed {
+		return false
+	}
+	different := pairing.LeastDifferent
+	if x.once {
+		different = pairing.MostDifferent
+	}
+	told := p.variety[k.endpoint].Differ(different) || (x.all != nil && !k.mixed)
+	return told || k.restedFor(now) >= p.restFor
+}
+
 // drop takes the i-th idle connection of an endpoint out; the lock is held.
 func (p *pool) drop(id string, i int) {
 	p.size--
@@ -277,12 +299,15 @@
 	}
 }
 
-// keepUndecided has a connection wait for quiet, unless there are too many.
-func (p *pool) keepUndecided(k *conn, x *call) bool {
+// keepUndecided has a connection wait for quiet. Where too many are kept, one at rest makes room.
+func (p *pool) keepUndecided(k *conn, x *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.size+p.waiting >= p.maxIdle {
-		return false
+	if p.size > 0 && p.size+p.waiting >= p.maxIdle {
+		for id := range p.idle {
+			p.closeFirst(id)
+			break
+		}
 	}
 	k.mu.Lock()
 	k.undecided = x
@@ -291,7 +316,20 @@
 	k.idleSince = time.Now()
 	p.undecided[k.endpoint] = append(p.undecided[k.endpoint], k)
 	p.waiting++
-	return true
+}
+
+// heard notes a response of an endpoint.
+func (p *pool) heard(endpoint string, r pairing.Response) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.variety[endpoint] == nil {
+		p.variety[endpoint] = new(pairing.Variety)
+	}
+	kind := r.Kind
+	if r.Named != 0 {
+		kind = r.Named
+	}
+	p.variety[endpoint].Add(kind)
 }
 
 // decided takes a connection out of those that wait for quiet.
@@ -389,6 +427,7 @@
 		return
 	}
 	delete(p.took, id)
+	delete(p.variety, id)
 	if p.givenBack.has(id) {
 		p.scarce.add(id, scarceFor)
 	}
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -73,18 +73,37 @@
 		return true // a call took it just now
 	}
 	k.undecided = nil
-	k.tracker.Quiet()
+	proven := k.tracker.Quiet()
+	k.gone = !proven
 	k.mu.Unlock()
+	if !proven {
+		p.unproven(k, u)
+		return false
+	}
 	p.decided(k)
 	p.give(u.endpoint, k)
 	u.settled(nil)
 	return true
 }
 
+// unproven ends a connection whose last response may be a copy, with no more to come that would tell: its call may have run.
+func (p *pool) unproven(k *conn, u *call) {
+	p.discard(k)
+	p.mu.Lock()
+	p.surpluses++
+	count := p.surpluses
+	p.mu.Unlock()
+	p.log.Info("a response that may be a copy is not believed", "endpoint", k.endpoint, "message", u.message, "count", count)
+	a := unknown(errUnproven)
+	u.settled(&a)
+}
+
 // received notes a response that came whole, and tells whether the connection goes on.
 func (p *pool) received(k *conn, r response) bool {
+	p.heard(k.endpoint, r.pairing)
 	k.mu.Lock()
-	x, u := k.call, k.undecided
+	x, u, previous := k.call, k.undecided, k.previous
+	k.previous, k.heard = nil, time.Now()
 	verdict := k.tracker.Response(r.pairing)
 	more := k.br.Buffered() > 0
 	switch verdict {
@@ -106,6 +125,9 @@
 		k.gone, gone = true, true
 	}
 	k.mu.Unlock()
+	if previous != nil {
+		previous.followed(r.pairing)
+	}
 
 	switch {
 	case verdict == pairing.Own:
@@ -119,7 +141,8 @@
 		p.surplus(k, r, verdict, "the call waits on")
 		return k.SetReadDeadline(time.Time{}) == nil
 	case verdict == pairing.MayBeCopy && x != nil:
-		return p.undecide(k, x, r.answer)
+		p.undecide(k, x, r)
+		return true
 	case verdict == pairing.MayBeCopy:
 		p.surplus(k, r, verdict, "the call is undecided for longer")
 		p.awaitQuiet(k, u)
@@ -141,12 +164,11 @@
 	return false
 }
 
-// undecide leaves a call undecided until its connection has been quiet, and tells whether the connection goes on.
-func (p *pool) undecide(k *conn, x *call, a answer) bool {
-	x.answer = a
-	end := callEnd{undecided: p.keepUndecided(k, x)}
-	x.end <- end
-	return end.undecided
+// undecide leaves a call undecided until its connection has been quiet.
+func (p *pool) undecide(k *conn, x *call, r response) {
+	x.answer, x.said = r.answer, r.pairing
+	p.keepUndecided(k, x)
+	x.end <- callEnd{undecided: true}
 }
 
 // awaitQuiet has an undecided call wait for quiet anew.
@@ -174,15 +196,17 @@
 // broken ends a connection that was ended, that says what can't be read, or that has stood idle for long enough.
 func (p *pool) broken(k *conn, err error) {
 	k.mu.Lock()
-	x, u := k.call, k.undecided
-	k.call, k.undecided, k.gone = nil, nil, true
+	x, undecided := k.call, []*call{k.previous, k.undecided}
+	k.call, k.previous, k.undecided, k.gone = nil, nil, nil, true
 	k.mu.Unlock()
 	p.discard(k)
 	if x != nil {
 		x.end <- callEnd{err: err}
 	}
-	if u != nil {
-		a := unknown(err)
-		u.settled(&a)
+	for _, u := range undecided {
+		if u != nil {
+			a := unknown(err)
+			u.settled(&a)
+		}
 	}
 }
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -151,6 +151,20 @@
 	}
 }
 
+var dateHeader = []byte("date:")
+
+// kindOf is a fingerprint of a head without its date.
+func kindOf(head []byte) uint64 {
+	var h maphash.Hash
+	h.SetSeed(fingerprintSeed)
+	for line := range bytes.Lines(head) {
+		if n := len(dateHeader); len(line) < n || !bytes.EqualFold(line[:n], dateHeader) {
+			h.Write(line) // never fails
+		}
+	}
+	return max(h.Sum64(), 1)
+}
+
 // readWhole reads a response of which the first line is known to be there.
 func (k *conn) readWhole(first bool, all []delivery.Attempt) (response, error) {
 	head, err := k.head()
@@ -160,6 +174,7 @@
 	var r response
 	if head != nil {
 		r.pairing.Fingerprint = max(maphash.Bytes(fingerprintSeed, head), 1)
+		r.pairing.Kind = kindOf(head)
 	}
 	if err != nil {
 		return r, err
--- a/internal/node/surplus_test.go
+++ b/internal/node/surplus_test.go
@@ -175,15 +175,17 @@
 
 // Guards against connections without number where many responses wait for quiet.
 func TestManyUndecidedResponsesNeedNoMoreConnections(t *testing.T) {
-	p := newPartner(t, says(delivered))
-	pool, call := testPool(), testCall(endpointAt(p.Addr()))
-	call.Settle = func(*delivery.Result) {}
-	for range 20 * mostUndecided {
-		if got := pool.Attempt(t.Context(), call); got.Outcome != choice.Pass {
-			t.Fatalf("got %+v", got)
+	for _, pool := range []*pool{testPool(), restingPool(16), restingPool(256)} {
+		p := newPartner(t, says(delivered))
+		call := testCall(endpointAt(p.Addr()))
+		call.Settle = func(*delivery.Result) {}
+		for range 20 * mostUndecided {
+			if got := pool.Attempt(t.Context(), call); got.Outcome != choice.Pass {
+				t.Fatalf("got %+v", got)
+			}
+		}
+		if _, conns := p.counts(); conns > mostUndecided+1 {
+			t.Errorf("%d connections", conns)
 		}
-	}
-	if _, conns := p.counts(); conns > mostUndecided+1 {
-		t.Errorf("%d connections", conns)
 	}
 }
