A notice whose answer may be a copy is owed while new connections have no answer

An agent that hangs behind a copy of a 204 has a notice answered on a used connection. Posts on new connections, which prove it, stay unanswered, and after 20 s the silence was taken for a proof: the notice was given up.

Cause: Schedule.Trusted is for a machine that can make no connection. It did not ask whether one had been made and had not answered.

Change: an answer counts without a proof only where the notice was never posted on a new connection.

--- a/internal/node/notices/schedule.go
+++ b/internal/node/notices/schedule.go
@@ -52,6 +52,7 @@
 	due      time.Duration // when it is to be posted next
 	tries    int
 	answered bool // on a connection that was used before
+	asked    bool // it was posted on a new one
 	since    time.Duration
 	over     bool
 	place    int // in its heap
@@ -189,6 +190,9 @@
 	if len(p.entries) == 0 {
 		return nil
 	}
+	for _, e := range p.entries {
+		e.asked = e.asked || fresh
+	}
 	s.open = append(s.open, p)
 	if p.urgent {
 		s.last, s.posted = now, true
@@ -268,10 +272,11 @@
 	}
 }
 
-// Trusted returns what was answered so long ago that the answer counts without a proof.
+// Trusted returns what was answered so long ago that the answer counts without a proof, where no new connection has been there for one. An
+// agent that has not answered on a new connection may hang behind a copy of its last answer.
 func (s *Schedule[T]) Trusted(now time.Duration) (over []T) {
 	for _, e := range slices.Clone(s.unproven) {
-		if now-e.since >= trustedAfter {
+		if now-e.since >= trustedAfter && !e.asked {
 			over = append(over, e.Value)
 			s.end(e)
 		}
--- a/internal/node/notices/schedule_test.go
+++ b/internal/node/notices/schedule_test.go
@@ -23,6 +23,7 @@
 	posted   []bool
 	answered []time.Duration // first; 0 for never
 	proven   []bool
+	asked    []bool // it was posted on a new connection
 	over     []bool
 	open     []*Post[int]
 	fresh    map[*Post[int]]bool
@@ -30,7 +31,7 @@
 
 func (m *model) end(t *rapid.T, all []int, proven bool) {
 	for _, v := range all {
-		trusted := m.answered[v] > 0 && m.now-m.answered[v] >= trustedAfter
+		trusted := m.answered[v] > 0 && m.now-m.answered[v] >= trustedAfter && !m.asked[v]
 		if m.over[v] || (proven && !m.proven[v]) || (!proven && !trusted) {
 			t.Fatalf("notice %d is acknowledged: over before %v, proven %v, answered at %v, now %v", v, m.over[v], m.proven[v], m.answered[v], m.now)
 		}
@@ -53,7 +54,7 @@
 		if !m.posted[e.Value] && m.now-m.added[e.Value] > gaps[len(gaps)-1]+10*time.Millisecond {
 			t.Fatalf("notice %d waited for %v with %d posts open", e.Value, m.now-m.added[e.Value], len(m.open))
 		}
-		m.posted[e.Value] = true
+		m.posted[e.Value], m.asked[e.Value] = true, m.asked[e.Value] || fresh
 	}
 }
 
@@ -66,6 +67,7 @@
 			case 0:
 				m.schedule.Add(m.now, &Entry[int]{Value: len(m.added), Line: make([]byte, rapid.IntRange(1, 9000).Draw(t, "size"))})
 				m.added, m.posted = append(m.added, m.now), append(m.posted, false)
+				m.asked = append(m.asked, false)
 				m.answered, m.proven, m.over = append(m.answered, 0), append(m.proven, false), append(m.over, false)
 			case 1, 2:
 				for range rapid.IntRange(1, 300).Draw(t, "time") { // a connection is there at any time
@@ -131,3 +133,22 @@
 		t.Errorf("after a move: %+v", p)
 	}
 }
+
+// Guards against an agent that hangs behind a copy of its last answer: the notice is owed for as long as posts on new connections have none.
+func TestSilenceOnNewConnectionsProvesNoNotice(t *testing.T) {
+	for _, dials := range []bool{true, false} {
+		var s Schedule[int]
+		s.Add(0, &Entry[int]{Line: []byte("x")})
+		s.Answered(time.Millisecond, s.Take(0, false), false) // on a used connection: the copy
+		over := 0
+		for now := time.Millisecond; now < 2*trustedAfter; now += 100 * time.Millisecond {
+			if _, _, proof := s.Want(now); proof && dials {
+				s.Take(now, true) // and is never answered
+			}
+			over += len(s.Trusted(now))
+		}
+		if (over == 0) != dials {
+			t.Errorf("new connections %v: %d acknowledged", dials, over)
+		}
+	}
+}
