Calls that must not run twice share connections where too many rest as well

Change: they take the connection that has been quiet for longest, as others do. The call before is settled by the next response if that is equal; the last of such a row counts as one that may have run, and is not sent again.

--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -247,16 +247,17 @@
 	waiting := p.undecided[id]
 	count := len(kept) + len(waiting)
 	room := count < mostUndecided && p.size+p.waiting < p.maxIdle
-	switch unmixed := slices.IndexFunc(kept, func(k *conn) bool { return !x.once || !k.mixed }); {
-	case count == 0, room && (unmixed >= 0 || len(kept) == 0):
+	usable := slices.IndexFunc(kept, func(k *conn) bool { return !x.once || !k.mixed })
+	switch {
+	case count == 0, room && (usable >= 0 || len(kept) == 0):
 		return nil
-	case x.once: // it must not meet a copy
+	case usable >= 0:
+		k := kept[usable]
+		p.drop(id, usable)
+		return k
+	case len(kept) > 0:
 		p.closeFirst(id) // the new one takes its place
 		return nil
-	case len(kept) > 0:
-		k := kept[0]
-		p.drop(id, 0)
-		return k
 	}
 	k := waiting[0]
 	p.dropUndecided(k)
--- a/internal/node/rest_test.go
+++ b/internal/node/rest_test.go
@@ -20,10 +20,10 @@
 
 // Guards against silence behind a copy of a response that is taken for the proof that the next call was answered.
 func TestAHangBehindACopyProvesNothing(t *testing.T) {
-	for _, said := range []string{delivered, turnedAway} {
+	for i, said := range []string{delivered, turnedAway, delivered} {
 		for _, lag := range []time.Duration{time.Millisecond, 5 * time.Millisecond, 20 * time.Millisecond} {
 			for _, full := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%.12s, %v behind, full %v", said, lag, full), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%.12s, once %v, %v behind, full %v", said, i == 2, lag, full), func(t *testing.T) {
 					t.Parallel()
 					var calls atomic.Int32
 					p := newPartner(t, func(nc net.Conn, req *http.Request) bool {
@@ -39,6 +39,7 @@
 					}
 					pool.Attempt(t.Context(), call)
 					call.NotPast = time.Now().Add(3 * time.Second)
+					call.Once = i == 2
 					_, final := settledBy(t, pool, call)
 					if final.Outcome == choice.Pass || final.NotRun {
 						t.Errorf("got %+v", final)
