A message is a repeat by its content, not by its id alone

What callers saw: a bad client sent its own message under the id of another client's open request.

Cause: Engine.accept looked messages up by front and id. A known id was answered as taken on before, and what had come under it was dropped.

The clients' bytes were not mixed: the whole of the bad client's message went out.

Mend: class, tenant, destination, key and body are compared, with a digest where the body is not kept any more (memory of ended ids, record of an end that is owed). Another message under a known id is refused: nothing of it has run. A repeat of one's own message is answered as before in each stage.

--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -19,7 +19,8 @@
 }
 
 // Do hands a message in and waits for its end. A message that is refused on arrival ends as Returned. One that the
-// engine has already, by its ID, is not done twice: Do waits for the end of the first, or returns the one it has. When
+// engine has already, by its ID and its content, is not done twice: Do waits for the end of the first, or returns the one
+// it has; another one of that ID is not taken on. When
 // ctx ends first, Do returns an error that wraps ErrWaitOver and ctx's own, and the message goes on: its end is then
 // kept for Ends and Acknowledge. When the engine stops first the error wraps ErrWaitOver and ErrStopped, and a message
 // that was taken on goes on in the next life; ErrStopped alone says that it was not handed in. It may be called by many
@@ -154,14 +155,15 @@
 
 // forget ends all that the engine has of a message.
 func (n *Engine) forget(p *past) {
-	name := ref(p.front, p.id)
-	if n.messages[name] != p {
+	if p.home.live[p.seq] != p {
 		return
 	}
 	if p.ended == nil {
 		*n.count(p)--
 	}
-	delete(n.messages, name)
+	if name := ref(p.front, p.id); n.messages[name] == p {
+		delete(n.messages, name)
+	}
 	p.home.add(record(recOver, p.seq))
 }
 
@@ -190,6 +192,7 @@
 	owed := wanted && (f.Sink == nil || e.state != Delivered)
 	if p.keep || (owed && len(waiters) == 0) {
 		n.held--
+		e.content = n.digester.ofPast(p)
 		p.home.add(endedRecord(p.seq, e))
 	} else {
 		n.forgetEnded(p, e.state)
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -59,7 +59,7 @@
 
 // Message is one piece of work as a front hands it in.
 type Message struct {
-	ID   string // of the front's own choosing; while the engine has one of this ID it is the same message
+	ID   string // of the front's own choosing; a message of the same ID and content is the same one
 	Key  string // idempotency key, for a class that has them
 	Body []byte // MaxBody bytes at most; must not be changed afterwards
 	// Class is its number in the settings, Dest its destination's.
@@ -109,6 +109,7 @@
 	messages map[string]*past // all in the journal, by front and id: see ref
 	ended    recentEnds       // not in the journal any more
 	refused  recentEnds       // of fronts with new IDs: messages that were not taken on
+	digester digester
 	out      map[attempt]outCall
 	eps      map[string]*Endpoint
 	waits    map[int]*atomic.Int64 // of destinations whose endpoints share them
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -232,7 +232,7 @@
 var errNotHeld = errors.New("the attempt's record is not held by further nodes")
 
 // Inherit takes on what another's journal owes, and goes on with it in its folder: as a restart there would, but on this engine's
-// decisions. Of a stale journal, which may lack what was done last, each message that may not simply be repeated counts as one that may have run. It returns once that is held, with Copies. A message whose id the engine has already in the same front is passed over and logged. It may be
+// decisions. Of a stale journal, which may lack what was done last, each message that may not simply be repeated counts as one that may have run. It returns once that is held, with Copies. A message that the engine has already in the same front, by its id and its content, is passed over and logged. It may be
 // called by many goroutines at a time while the engine runs.
 func (n *Engine) Inherit(ctx context.Context, dir string, stale bool) error {
 	err, asked := askLoop(ctx, n, func(reply chan error) any { return inherit{dir: dir, stale: stale, reply: reply} })
@@ -255,18 +255,21 @@
 	var events []choice.Event
 	for _, p := range slices.SortedFunc(maps.Values(j.live), func(a, b *past) int { return cmp.Compare(a.seq, b.seq) }) {
 		j.own(p)
-		f := n.fronts[p.front]
+		f, own := n.fronts[p.front], n.messages[ref(p.front, p.id)]
 		switch {
 		case f == nil || p.class >= len(n.cfg.Settings.Classes): // it stays where it is
 			n.log.Error("a message of a journal that is inherited is passed over: its front or class is not known here",
 				"journal", i.dir, "front", p.front, "id", p.id, "class", p.class)
 			continue
-		case n.messages[ref(p.front, p.id)] != nil: // by its id it is the same
-			n.log.Warn("a message of a journal that is inherited was handed in here as well: it is the same by its id", "journal", i.dir, "front", p.front, "id", p.id)
+		case own == nil:
+			n.messages[ref(p.front, p.id)] = p
+		case n.isSame(own, p):
+			n.log.Warn("a message of a journal that is inherited was handed in here as well", "journal", i.dir, "front", p.front, "id", p.id)
 			j.add(record(recOver, p.seq))
 			continue
+		default: // it is owed all the same, under its number alone
+			n.log.Warn("a message of a journal that is inherited has the id of another one here", "journal", i.dir, "front", p.front, "id", p.id)
 		}
-		n.messages[ref(p.front, p.id)] = p
 		if p.ended != nil {
 			if f.Sink != nil {
 				f.owe(newEnd(p))
--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -6,8 +6,9 @@
 )
 
 // Hand hands a message in for the front of that name, and waits to hear whether it is taken on. Its end goes to the
-// front's sink. A message that the engine has already, by its ID, or that ended a few seconds ago, is taken on with no
-// second effect. It may be called by many goroutines at a time, but not for long after Run has ended.
+// front's sink. A message that the engine has already, by its ID and its content, or that ended a few seconds ago, is taken
+// on with no second effect; another one of such an ID is not taken on. It may be called by many goroutines at a time, but
+// not for long after Run has ended.
 func (n *Engine) Hand(front string, m Message) Answer { return n.Offer(front, m).Answer() }
 
 // Offer is Hand without the wait: a front that has several messages at once offers all of them, and then asks for the
@@ -111,6 +112,10 @@
 		a.answer(n.turnAway(a, TurnedByLife))
 		return nil
 	}
+	if n.takesAnothersID(a, p) {
+		n.refuseAnothersID(a)
+		return nil
+	}
 	switch {
 	case p != nil && a.end != nil && p.ended != nil: // it has ended before, and says the same again
 		end := newEnd(p)
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -115,6 +115,8 @@
 	state State
 	after time.Duration
 	code  int
+	// content stands for the body and what went with it, which are not kept from then on.
+	content contentDigest
 }
 
 // waiter is whom a wait binds: a destination, or an endpoint that is a route apart.
@@ -348,6 +350,9 @@
 		if len(f.b) > 0 {
 			e.code = int(f.number())
 		}
+		if len(f.b) > 0 { // builds up to 02b6b71 wrote nothing more
+			e.content = contentDigest(f.number())
+		}
 		if !f.bad {
 			j.held -= p.size()
 			p.ended, p.body, p.sends = e, nil, nil // only the notice is owed
--- a/delivery/recorder.go
+++ b/delivery/recorder.go
@@ -39,6 +39,7 @@
 	TurnedByDisk   = "disk"    // the journal can't have it
 	TurnedByLife   = "another" // another life of it is under way
 	TurnedByRepeat = "repeat"  // it was refused a short while ago, and its client has been told so
+	TurnedByID     = "id"      // another message has its id
 	// TurnedByCopies says that no further nodes can hold it now.
 	TurnedByCopies = "copies"
 )
--- a/delivery/records.go
+++ b/delivery/records.go
@@ -188,8 +188,11 @@
 func endedRecord(seq uint64, e ending) []byte {
 	b := binary.AppendUvarint(record(recEnded, seq), uint64(e.state))
 	b = binary.AppendUvarint(b, uint64(e.after/time.Millisecond))
-	if e.code != 0 {
+	if e.code != 0 || e.content != 0 {
 		b = binary.AppendUvarint(b, uint64(e.code))
 	}
+	if e.content != 0 {
+		b = binary.AppendUvarint(b, uint64(e.content))
+	}
 	return b
 }
--- a/delivery/repeats.go
+++ b/delivery/repeats.go
@@ -13,12 +13,18 @@
 
 // recentEnds remembers the messages that ended, or were refused, a short while ago, by front and id as ref has them. It is for one goroutine.
 type recentEnds struct {
-	known map[string]State
+	known map[string]knownEnd
 	queue [repeatMost]recentEnd // a ring, oldest first
 	first int
 	count int
 }
 
+// knownEnd is how a message ended, and what was in it.
+type knownEnd struct {
+	state   State
+	content contentDigest
+}
+
 // recentEnd is a message and when it ended.
 type recentEnd struct {
 	name string
@@ -26,7 +32,7 @@
 }
 
 // add notes that a message has ended now, and how.
-func (r *recentEnds) add(name string, state State, now time.Duration) {
+func (r *recentEnds) add(name string, end knownEnd, now time.Duration) {
 	r.expire(now)
 	if _, known := r.known[name]; known {
 		return
@@ -35,18 +41,18 @@
 		r.drop()
 	}
 	if r.known == nil {
-		r.known = map[string]State{}
+		r.known = map[string]knownEnd{}
 	}
-	r.known[name] = state
+	r.known[name] = end
 	r.queue[(r.first+r.count)%repeatMost] = recentEnd{name, now}
 	r.count++
 }
 
 // look tells whether a message ended within repeatMemory, and how.
-func (r *recentEnds) look(name string, now time.Duration) (state State, known bool) {
+func (r *recentEnds) look(name string, now time.Duration) (end knownEnd, known bool) {
 	r.expire(now)
-	state, known = r.known[name]
-	return state, known
+	end, known = r.known[name]
+	return end, known
 }
 
 // expire drops what ended longer ago than repeatMemory.
@@ -67,7 +73,7 @@
 // noteRefused remembers a message that was not taken on, so that a copy of it on its way is not taken on either.
 func (n *Engine) noteRefused(front, id string) {
 	if n.fronts[front].NewIDs {
-		n.refused.add(ref(front, id), Refused, n.now())
+		n.refused.add(ref(front, id), knownEnd{state: Refused}, n.now())
 	}
 }
 
@@ -81,7 +87,8 @@
 	case p != nil:
 		return 0, false
 	}
-	return n.ended.look(ref(a.front.Name, a.ID), n.now())
+	end, ended := n.ended.look(ref(a.front.Name, a.ID), n.now())
+	return end.state, ended
 }
 
 // answerRepeat answers a message that was taken on before and has ended, with no second effect. Whoever hears that it is taken on waits for
@@ -102,7 +109,7 @@
 // again under that, unless its front has new IDs.
 func (n *Engine) forgetEnded(p *past, state State) {
 	if !p.again() && (state != Returned || n.fronts[p.front].NewIDs) {
-		n.ended.add(ref(p.front, p.id), state, n.now())
+		n.ended.add(ref(p.front, p.id), knownEnd{state, n.digester.ofPast(p)}, n.now())
 	}
 	n.forget(p)
 }
--- a/delivery/repeats_test.go
+++ b/delivery/repeats_test.go
@@ -57,7 +57,7 @@
 		for range rapid.IntRange(1, 3000).Draw(rt, "ends") {
 			now += time.Duration(rapid.IntRange(0, 40).Draw(rt, "pause")) * time.Millisecond
 			name := fmt.Sprint(len(order))
-			r.add(name, Delivered, now)
+			r.add(name, knownEnd{state: Delivered}, now)
 			ended[name], order = now, append(order, name)
 		}
 		for i, name := range order {
