--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -1,6 +1,7 @@
 package delivery
 
 import (
+	"errors"
 	"fmt"
 	"time"
 )
@@ -178,7 +179,7 @@
 	if a.life != nil {
 		p.first, p.mayRun, p.mayZone = a.life.First, a.life.MayRun, int32(a.life.Zone)
 	}
-	p, err := n.journal.accept(p)
+	p, err := n.journalNew(p)
 	if err != nil {
 		a.answer(n.turnAway(a, TurnedByDisk))
 		return nil
@@ -195,6 +196,19 @@
 	return p
 }
 
+// journalNew has the journal take a message, and compacts it before if it has to be.
+func (n *Engine) journalNew(p *past) (*past, error) {
+	taken, err := n.journal.accept(p)
+	if !errors.Is(err, errCrowded) {
+		return taken, err
+	}
+	n.keepLost() // before the records of their ends are written
+	if err := n.journal.compact(); err != nil {
+		return nil, err
+	}
+	return n.journal.accept(p)
+}
+
 // turnAway refuses a message for want of room, before the module has heard of it.
 func (n *Engine) turnAway(a arrival, why string) Answer {
 	return n.turnAwayFor(a, why, n.sender.StayAway(a.Dest))
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -55,6 +55,7 @@
 
 var (
 	errDiskBudget  = errors.New("the journal's share of the disk is used up")
+	errCrowded     = errors.New("the journal has to be compacted first")
 	errJournalDown = errors.New("journal: it could not be written a moment ago")
 	// errMayStand says that a next life may find records that could not be written, and neither be cut off.
 	errMayStand = errors.New("it may be in the journal all the same")
@@ -72,6 +73,7 @@
 	deadline time.Time
 	front    string // the way that it came in
 	keep     bool   // its end is owed to whoever asks by its id
+	stored   int64  // bytes of its records in a new file
 	mayZone  int32  // of a further life, see mayRun; here, where it takes no room
 	sends    []pastSend
 	ended    *ending
@@ -140,16 +142,12 @@
 	return num
 }
 
-// size is about the room that a message takes in the journal.
-func (p *past) size() int64 {
-	return int64(len(p.body)+len(p.id)+len(p.key)+len(p.front)) + messageReserve
-}
-
 // journal appends records and keeps what is live, so that it can write the file anew.
 type journal struct {
 	dir     string
-	base    uint64 // of its messages' numbers in the engine
-	budget  int64
+	base    uint64   // of its messages' numbers in the engine
+	limit   int64    // of the folder, for all of the journal's files
+	budget  int64    // of it, what messages may claim
 	lock    *os.File // the folder itself
 	files   fileSystem
 	f       journalFile
@@ -157,10 +155,12 @@
 	read    reading // of the machine's clock when it was opened; without a boot where there is none
 	reboot  bool    // the machine was started anew since the last life
 	written int64   // good bytes in the file
+	extent  int64   // bytes in the file; more than are good where a write failed and could not be cut off
 	live    map[uint64]*past
 	waits   map[waiter]time.Time // until when they asked to be left alone
 	outages map[waiter]outage    // routes that were not healthy when last heard of
 	held    int64                // sum of the sizes of what is live
+	stored  int64                // bytes of its messages' records in a new file
 	lent    int64                // the part of it that further lives take
 	pending []byte               // records not yet in the file
 	next    uint64
@@ -211,7 +211,10 @@
 			lock.Close()
 		}
 	}()
-	j := &journal{dir: dir, files: files, lock: lock, budget: int64(diskMB*(1<<20)) - 16<<10, live: map[uint64]*past{}, waits: map[waiter]time.Time{}, outages: map[waiter]outage{}, next: 1}
+	j := &journal{
+		dir: dir, files: files, lock: lock, limit: int64(diskMB*bytesInMB) - diskRounding, budget: int64(diskMB*bytesInMB) - diskMargin,
+		live: map[uint64]*past{}, waits: map[waiter]time.Time{}, outages: map[waiter]outage{}, next: 1,
+	}
 	// A compaction that was cut short left its file; the old one is still whole.
 	if err = files.remove(j.path() + ".new"); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
@@ -239,6 +242,9 @@
 		j.apply(payload)
 		j.written += int64(recordHead + len(payload))
 	}
+	if j.extent, err = f.Seek(0, io.SeekEnd); err != nil {
+		return nil, errors.Join(fmt.Errorf("journal: %w", err), f.Close())
+	}
 	if err = j.rewind(); err != nil { // a torn tail must not stand before new records: a new file will do
 		j.broken = true
 	}
@@ -308,8 +314,7 @@
 			p.tenant = int(f.number())
 		}
 		if !f.bad {
-			j.live[seq] = j.own(p)
-			j.held += p.size()
+			j.begin(p, payload)
 		}
 	case recAgain:
 		p = f.message(seq)
@@ -321,9 +326,7 @@
 			p.tenant = int(f.number())
 		}
 		if !f.bad {
-			j.live[seq] = j.own(p)
-			j.held += p.size()
-			j.lent += p.size()
+			j.begin(p, payload)
 		}
 	case recAttempt:
 		s := pastSend{at: f.time(), zone: int(f.number())}
@@ -332,18 +335,22 @@
 		}
 		if !f.bad {
 			p.sends = append(p.sends, s)
+			j.grow(p, payload)
 		}
 	case recNotRun:
 		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
 			p.sends[n].notRun, p.sends[n].failed = true, true
+			j.grow(p, payload)
 		}
 	case recTurnedAway:
 		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
 			p.sends[n].notRun = true
+			j.grow(p, payload)
 		}
 	case recFailed:
 		if n := f.number(); !f.bad && n < uint64(len(p.sends)) {
 			p.sends[n].failed = true
+			j.grow(p, payload)
 		}
 	case recEnded:
 		e := &ending{state: State(f.number()), after: time.Duration(f.number()) * time.Millisecond}
@@ -354,19 +361,24 @@
 			e.content = contentDigest(f.number())
 		}
 		if !f.bad {
-			j.held -= p.size()
+			j.release(p)
 			p.ended, p.body, p.sends = e, nil, nil // only the notice is owed
-			j.held += p.size()
+			p.stored = int64(endedRoom + len(p.id) + len(p.key) + len(p.front))
+			j.hold(p)
 		}
 	case recOver:
-		j.held -= p.size()
-		if p.again() {
-			j.lent -= p.size()
-		}
+		j.release(p)
 		delete(j.live, seq)
 	}
 }
 
+// begin has a message live, by the record that takes it on.
+func (j *journal) begin(p *past, payload []byte) {
+	p.stored = int64(recordHead + len(payload))
+	j.live[p.seq] = j.own(p)
+	j.hold(p)
+}
+
 // own makes a message one of this journal's.
 func (j *journal) own(p *past) *past {
 	p.home = j
@@ -413,17 +425,17 @@
 	return cmp.Or(cmp.Compare(a.dest, b.dest), cmp.Compare(a.endpoint, b.endpoint))
 }
 
-// accept numbers a new message, queues its record and returns what is kept of it; it refuses what the disk may not have room for.
-// Twice what is live must fit, since a compaction holds the old file and the new one at once.
+// accept numbers a new message, queues its record and returns what is kept of it; it refuses what the disk may not have room for. With errCrowded
+// there is room once the journal has been compacted.
 func (j *journal) accept(p *past) (*past, error) {
 	if j.broken {
 		return nil, errJournalDown
 	}
-	if 2*(j.held+p.size()+j.routesSize())+int64(len(j.pending)) > j.budget {
+	if !j.fits(p.size()) || (p.again() && j.lent+p.size() > j.budget/lentShare) {
 		return nil, errDiskBudget
 	}
-	if p.again() && j.lent+p.size() > j.budget/lentShare {
-		return nil, errDiskBudget
+	if j.crowded(p.size()) {
+		return nil, errCrowded
 	}
 	p.seq = j.next
 	j.add(j.taken(p))
@@ -437,12 +449,14 @@
 		return nil
 	}
 	after := j.written + int64(len(j.pending))
-	if j.broken || after+j.held > j.budget || (after > minCompact && after > 4*j.held) {
-		return j.compact()
+	if j.broken || after+j.claimed() > j.budget || (after > minCompact && after > 4*j.held) {
+		if err := j.compact(); !j.mayAppend(err, after) {
+			return err
+		}
 	}
 	if _, err := j.f.WriteAt(j.pending, j.written); err != nil {
 		// Whole records of what is not going to be done must not be found at the next start.
-		j.pending, j.broken = nil, true
+		j.pending, j.broken, j.extent = nil, true, max(j.extent, after)
 		if cut := j.rewind(); cut != nil {
 			err = errors.Join(err, cut)
 			if size, unknown := j.f.Seek(0, io.SeekEnd); unknown != nil || size > j.written {
@@ -451,7 +465,7 @@
 		}
 		return fmt.Errorf("journal: %w", err)
 	}
-	j.written = after
+	j.written, j.extent = after, max(j.extent, after)
 	j.tell(j.pending)
 	j.pending = j.pending[:0]
 	return nil
@@ -459,7 +473,11 @@
 
 // rewind cuts off whatever stands behind the last whole record.
 func (j *journal) rewind() error {
-	return j.f.Truncate(j.written)
+	err := j.f.Truncate(j.written)
+	if err == nil {
+		j.extent = j.written
+	}
+	return err
 }
 
 // compact writes what is live, queued records included, to a new file that takes the old one's place.
@@ -467,6 +485,12 @@
 	if time.Now().Before(j.retryAt) {
 		return errJournalDown
 	}
+	if j.extent > j.written {
+		j.rewind() // an error leaves it as it is
+	}
+	if err := j.mayCompact(); err != nil {
+		return err
+	}
 	chain, news := j.chain, len(j.news)
 	defer func() {
 		if err != nil {
@@ -491,15 +515,14 @@
 		n, _ := w.Write(appendRecord(nil, payload)) // the error stays with w
 		size += int64(n)
 	}
+	putIfRoom := func(payload []byte) { // what serves the next life well, and is not owed
+		if j.extent+size+int64(recordHead+len(payload))+fixedRecords <= j.limit {
+			put(payload)
+		}
+	}
 	if j.read.boot != "" {
 		put(clockRecord(j.read))
 	}
-	for _, w := range j.running(time.Now()) {
-		put(waitRecord(w, j.clock.stamp(j.waits[w])))
-	}
-	for w, o := range j.outages {
-		put(outageRecord(w, outage{o.health, j.clock.stamp(o.since)}))
-	}
 	for _, p := range j.live {
 		put(j.taken(p))
 		for i, s := range p.sends {
@@ -517,6 +540,12 @@
 			put(endedRecord(p.seq, *p.ended))
 		}
 	}
+	for w, o := range j.outages {
+		putIfRoom(outageRecord(w, outage{o.health, j.clock.stamp(o.since)}))
+	}
+	for _, w := range j.running(time.Now()) {
+		putIfRoom(waitRecord(w, j.clock.stamp(j.waits[w])))
+	}
 	if err := j.tellAll(w, f, &size); err != nil {
 		return err
 	}
@@ -527,8 +556,8 @@
 		return err
 	}
 	old := j.f
-	j.f, j.written, j.pending, j.broken = f, size, nil, false // a large buffer is not kept
-	old.Close()                                               // nothing of the old file is needed any more
+	j.f, j.written, j.extent, j.pending, j.broken = f, size, size, nil, false // a large buffer is not kept
+	old.Close()                                                               // nothing of the old file is needed any more
 	return nil
 }
 
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -155,6 +155,12 @@
 
 // flush hands the keeper what it is to have, and then writes the journal's records.
 func (n *Engine) flush() error {
+	n.keepLost()
+	return n.write()
+}
+
+// keepLost hands the keeper what has ended undelivered, and what was delivered late.
+func (n *Engine) keepLost() {
 	if len(n.lost) > 0 {
 		if err := n.cfg.Keeper.Keep(n.lost); err != nil {
 			for _, l := range n.lost {
@@ -172,7 +178,6 @@
 		}
 		n.late = nil
 	}
-	return n.write()
 }
 
 // step lets the module decide and carries out what it says, in order, once the records are written that guard
