Copies: a note that is agreed on late does not take the place of a later one

The voters agreed on it later, also after a later one, and an heir read a holder that the owner had not waited for.

The log names notes without an answer now.

Mend: held is what the holders of each note have that the voters may have or come to. Notes have serial numbers; the voters refuse one that comes after a later one.

Tests: TestANoteWithoutAnAnswerMayStand, TestALateNoteDoesNotReplaceALaterOne, four planted faults that were not found before the first; the model loses, repeats and delays requests and answers.

--- a/peers/copies.go
+++ b/peers/copies.go
@@ -409,7 +409,7 @@
 			}
 			return
 		}
-		st.owner.Granted(note, g.Token)
+		st.owner.Granted(note, g.Token, g.Serial)
 	case leased && !st.engine && st.owner.IsNoted():
 		st.engine = true
 		c.work.Go(func() { c.takeOn(ctx, st) })
@@ -540,18 +540,27 @@
 
 // note asks the voters to write down who holds a stream.
 func (c *Copies) note(ctx context.Context, st *stream, epoch uint64, note copies.Note) {
-	r, err := c.s.leases.commandAs(ctx, lease.Command{Do: lease.Note, Name: st.name, Token: epoch, Reason: note.String()}, c.life)
+	r, err := c.askNote(ctx, st.name, epoch, note)
+	outcome := copies.Unknown
+	if err == nil && r.Done {
+		outcome = copies.Agreed
+	} else if err == nil {
+		outcome = copies.Refused
+	}
 	c.mu.Lock()
 	if st.epoch == epoch { // or it is of a question that nobody has any more
-		st.owner.Noted(err == nil && r.Done)
+		st.owner.Noted(outcome)
 	}
 	c.mu.Unlock()
-	if err == nil && r.Done {
-		c.s.o.Log.Info("copies", "stream", st.name, "epoch", epoch, "holders", note.Holders, "alone", note.Alone)
-	}
+	c.s.o.Log.Info("copies", "stream", st.name, "epoch", epoch, "holders", note.Holders, "alone", note.Alone, "serial", note.Serial, "outcome", outcome.String())
 	c.kick()
 }
 
+// askNote asks the voters to write a note down with the lease of an epoch.
+func (c *Copies) askNote(ctx context.Context, name string, epoch uint64, note copies.Note) (lease.Result, error) {
+	return c.s.leases.commandAs(ctx, lease.Command{Do: lease.Note, Name: name, Token: epoch, Reason: note.String(), Serial: note.Serial}, c.life)
+}
+
 func (c *Copies) kick() {
 	select {
 	case c.wake <- struct{}{}:
--- a/peers/copies/copies.go
+++ b/peers/copies/copies.go
@@ -11,6 +11,10 @@
 // stream, agreed on by the voters before the owner counts on them. A place is held once **all** noted holders have it. So each single noted
 // holder that is left has all that was ever said to be held, and an heir, who reads the note with its grant, needs to reach one of them.
 //
+// The owner learns late, or never, what became of a note that it asked for. Until it does, the voters may have the last note that it knows of, or any
+// that it has asked for since: a place is held once the holders of each of these have it. Notes have serial numbers, and the voters refuse one
+// that comes after a later one, so that an answer to a note settles all before it.
+//
 // # Why no epoch goes on beside another
 //
 // An heir has the lease, and so a larger token, before it does anything; it fences the noted holders that it reaches before it reads: they
@@ -28,6 +32,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"hash/fnv"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -42,6 +47,10 @@
 
 const recordHead = 8
 
+// serialsOfProcess is how far the serial numbers of a process's notes are above those of the process before that were agreed on: more than that one
+// can have asked for in vain, one a lease's term at most.
+const serialsOfProcess = 1 << 20
+
 // next is the place behind records, a record at a time; ok is false if they are not whole records.
 func (c Chain) next(records []byte) (Chain, bool) {
 	for len(records) > 0 {
@@ -182,6 +191,8 @@
 	// Epoch is that of who wrote the note: an owner notes its own before it counts anything as held, and an heir before it goes on. So whoever
 	// has the lease again after it had ended knows by the note whether another has gone on with the stream meanwhile.
 	Epoch uint64
+	// Serial orders the notes that were asked for under one epoch. It goes with the request, and is no part of the text.
+	Serial uint64
 }
 
 // String is the note as it is written.
@@ -222,8 +233,11 @@
 	patience time.Duration
 	epoch    uint64            // of the lease; nothing is held before the note has it
 	at       Chain             // the end of the stream
-	note     Note              // that the voters have agreed on
-	asked    *Note             // that they are asked to
+	note     Note              // the last one that the voters are known to have agreed on
+	settled  bool              // note was asked for since the lease was granted, or the process started
+	asked    *Note             // that the voters are asked for now
+	doubted  []Note            // asked for after note, with no answer: the voters may have agreed on them, or may yet
+	serial   uint64            // of the last note that was asked for
 	acked    map[string]uint64 // marks that holders have
 	wants    []string
 	waits    map[uint64]wait // by ticket: the mark that it needs, and since when
@@ -242,11 +256,24 @@
 	return &Owner{self: self, k: k, patience: patience, at: at, acked: map[string]uint64{}, waits: map[uint64]wait{}}
 }
 
-// Granted tells what the lease carries, and its token.
-func (o *Owner) Granted(note Note, epoch uint64) { o.note, o.epoch, o.asked = note, epoch, nil }
+// Granted tells what the lease carries, its token, and the serial number of the last note that was agreed on under that token, 0 for none. An
+// earlier process may have asked for notes that are still under way.
+func (o *Owner) Granted(note Note, epoch, serial uint64) {
+	o.note, o.epoch, o.serial = note, epoch, serial+serialsOfProcess
+	o.settled, o.asked, o.doubted = false, nil, nil
+}
+
+// IsNoted tells whether the voters know that this owner goes on with the stream, and no note of an earlier process can come any more.
+func (o *Owner) IsNoted() bool { return o.epoch != 0 && o.settled && o.note.Epoch == o.epoch }
 
-// IsNoted tells whether the voters know that this owner goes on with the stream.
-func (o *Owner) IsNoted() bool { return o.epoch != 0 && o.note.Epoch == o.epoch }
+// possible are the notes that the voters may have now, or come to with no further request.
+func (o *Owner) possible() []Note {
+	all := append([]Note{o.note}, o.doubted...)
+	if o.asked != nil {
+		all = append(all, *o.asked)
+	}
+	return all
+}
 
 // Wrote notes that the stream has come to a place with a ticket.
 func (o *Owner) Wrote(now time.Duration, ticket uint64, to Chain) {
@@ -269,19 +296,43 @@
 // Choose notes who is to hold the stream from now on, as far as they can be had.
 func (o *Owner) Choose(names []string) { o.wants = names }
 
-// Targets are those that frames go to: who is noted, and who is to be.
+// Targets are those that frames go to: who is noted, or may be, and who is to be.
 func (o *Owner) Targets() []string {
-	all := slices.Concat(o.further(), o.wants)
+	all := slices.Clone(o.wants)
+	for _, note := range o.possible() {
+		all = append(all, o.further(note)...)
+	}
 	slices.Sort(all)
 	return slices.Compact(all)
 }
 
-// further are the noted holders but the owner itself.
-func (o *Owner) further() []string {
-	if !slices.Contains(o.note.Holders, o.self) {
-		return o.note.Holders
+// further are the holders of a note but the owner itself.
+func (o *Owner) further(note Note) []string {
+	if !slices.Contains(note.Holders, o.self) {
+		return note.Holders
+	}
+	return slices.DeleteFunc(slices.Clone(note.Holders), func(name string) bool { return name == o.self })
+}
+
+// heldBy is the mark that a note has held: all under a note that lets the owner go on alone, nothing with too few holders.
+func (o *Owner) heldBy(note Note) uint64 {
+	if note.Alone {
+		return math.MaxUint64
+	}
+	further := o.further(note)
+	if len(further) < o.k {
+		return 0
 	}
-	return slices.DeleteFunc(slices.Clone(o.note.Holders), func(name string) bool { return name == o.self })
+	return o.held(further)
+}
+
+// heldByAll is the mark that each possible note has held.
+func (o *Owner) heldByAll() uint64 {
+	mark := uint64(math.MaxUint64)
+	for _, note := range o.possible() {
+		mark = min(mark, o.heldBy(note))
+	}
+	return mark
 }
 
 // held is the mark that all of some holders have.
@@ -296,7 +347,8 @@
 	return least
 }
 
-// Ask returns the note that the voters are to be asked for, if another is wanted and none is asked for. Noted tells what became of it.
+// Ask returns the note that the voters are to be asked for, if another is wanted, or what became of one is not known, and none is asked for now. Noted
+// tells what became of it.
 func (o *Owner) Ask(now time.Duration, mayAlone bool) (Note, bool) {
 	if o.asked != nil {
 		return Note{}, false
@@ -319,13 +371,21 @@
 	case mayAlone && o.lacking != 0 && now-o.lacking > o.patience && !o.stands():
 		want.Alone = true
 	}
-	if want.String() == o.note.String() {
+	if want.String() == o.note.String() && o.settled && len(o.doubted) == 0 {
 		return Note{}, false
 	}
+	o.serial++
+	want.Serial = o.serial
 	o.asked = &want
 	return want, true
 }
 
+// End returns the note that says that the stream owes nothing more, to be asked for. What becomes of it is of no matter to this owner.
+func (o *Owner) End() Note {
+	o.serial++
+	return Note{Holders: o.note.Holders, Alone: o.note.Alone, Over: true, Epoch: o.epoch, Serial: o.serial}
+}
+
 // ready tells whether each of some holders is known to have all up to the last place but what is on its way.
 func (o *Owner) ready(names []string) bool {
 	for _, name := range names {
@@ -346,14 +406,36 @@
 
 // stands tells whether the noted holders have what is waited for.
 func (o *Owner) stands() bool {
-	further := o.further()
-	return len(further) >= o.k && !o.note.Alone && o.held(further) >= o.oldest()
+	return len(o.further(o.note)) >= o.k && !o.note.Alone && o.heldByAll() >= o.oldest()
+}
+
+// Outcome is what became of a note that was asked for.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Unknown Outcome = iota // no answer came: the voters may have agreed on it, or may yet
+	Agreed
+	Refused
+)
+
+// String names the outcome.
+func (o Outcome) String() string {
+	return [...]string{"unknown", "agreed", "refused"}[min(o, Refused)]
 }
 
 // Noted says what became of the note that was asked for.
-func (o *Owner) Noted(done bool) {
-	if done && o.asked != nil {
-		o.note = *o.asked
+func (o *Owner) Noted(outcome Outcome) {
+	if o.asked == nil {
+		return
+	}
+	switch outcome {
+	case Agreed: // those before it are refused from now on
+		o.note, o.settled, o.doubted = *o.asked, true, nil
+	case Unknown:
+		if !slices.ContainsFunc(o.doubted, func(n Note) bool { return n.String() == o.asked.String() }) {
+			o.doubted = append(o.doubted, *o.asked)
+		}
 	}
 	o.asked = nil
 }
@@ -363,18 +445,18 @@
 func (o *Owner) Covered(now time.Duration, leased bool) (ticket uint64, short bool, ok bool) {
 	before := o.covered
 	leased = leased && o.IsNoted()
-	mark, alone := uint64(0), leased && o.note.Alone
-	if further := o.further(); leased && len(further) >= o.k {
-		mark = o.held(further)
+	mark := uint64(0)
+	if leased {
+		mark = o.heldByAll()
 	}
 	for len(o.tickets) > 0 {
 		t := o.tickets[0]
 		w := o.waits[t]
 		late := now-w.since > o.patience
-		if !alone && w.mark > mark && !late {
+		if w.mark > mark && !late {
 			break
 		}
-		if !alone && w.mark > mark {
+		if w.mark > mark {
 			if o.covered > before && !short {
 				break // what is held goes first, by itself
 			}
@@ -392,13 +474,13 @@
 // Holds tells whether new messages can be held now: nothing has waited in vain, and enough holders are there.
 func (o *Owner) Holds(now time.Duration) bool {
 	late := o.lacking != 0 && now-o.lacking > o.patience
-	return o.IsNoted() && (o.note.Alone || len(o.further()) >= o.k && len(o.wants) >= o.k && !late)
+	return o.IsNoted() && (o.note.Alone || len(o.further(o.note)) >= o.k && len(o.wants) >= o.k && !late)
 }
 
 // Alone tells whether the owner goes on without holders.
 func (o *Owner) Alone() bool { return o.note.Alone }
 
-// Note is what the voters have agreed on, and Behind how many bytes each target lacks.
+// Note is the last one that the voters are known to have agreed on.
 func (o *Owner) Note() Note { return o.note }
 
 // Behind is how many bytes each target lacks, -1 for one of which nothing is known.
--- a/peers/copies/copies_test.go
+++ b/peers/copies/copies_test.go
@@ -27,14 +27,16 @@
 const patience = time.Second
 
 // world is an owner, its two possible holders and the agreement, as the service puts them together, small enough that all that may
-// happen is gone through. Frames may be late, come twice or never; a note may be agreed on and the owner not hear of it for a while.
+// happen is gone through. Frames may be late, come twice or never. Requests for notes may come late, twice, or after later ones, and their answers
+// late or never; the owner's process may start again under the same lease.
 type world struct {
 	now     time.Duration
 	owner   *Owner
 	epoch   uint64
-	dead    bool // the owner's machine is lost
-	note    Note // of the agreement
-	asked   *Note
+	dead    bool   // the owner's machine is lost
+	note    Note   // of the agreement
+	asked   []Note // on their way to the agreement, by any process of the owner
+	waits   *Note  // whose answer the owner waits for
 	shelves map[string]Shelf
 	content map[string][]byte // records of each shelf, by their last byte
 	wrote   []byte            // the owner's records
@@ -58,9 +60,9 @@
 
 func newWorld() *world {
 	w := &world{owner: NewOwner("owner", 1, patience, Chain{}), epoch: 1, shelves: map[string]Shelf{"a": {}, "b": {}}, content: map[string][]byte{}, places: []Chain{{}}}
-	w.owner.Granted(Note{}, 1)
-	w.owner.Ask(0, false)
-	w.owner.Noted(true)
+	w.owner.Granted(Note{}, 1, 0)
+	w.note, _ = w.owner.Ask(0, false)
+	w.owner.Noted(Agreed)
 	return w
 }
 
@@ -73,12 +75,16 @@
 		}
 		add("want a")
 		add("want b")
-		if w.asked == nil {
+		if w.waits == nil {
 			add("ask")
 		} else {
-			add("noted")
+			add("silence")
+			if w.waits.Serial <= w.note.Serial {
+				add("noted")
+			}
 		}
 		add("cover")
+		add("restart")
 		for i := range w.acks {
 			add("ack %d", i)
 		}
@@ -89,6 +95,12 @@
 	} else if w.heir == nil {
 		add("inherit")
 	}
+	for i := range w.asked {
+		if w.heir == nil { // by then the lease is the heir's
+			add("decide %d", i)
+			add("redecide %d", i)
+		}
+	}
 	for i := range w.frames {
 		add("arrive %d", i)
 		add("again %d", i)
@@ -111,11 +123,29 @@
 		w.owner.Choose([]string{arg})
 	case "ask":
 		if note, ok := w.owner.Ask(w.now, false); ok {
-			w.asked, w.note = &note, note // agreed on at once, heard of later
+			w.waits, w.asked = &note, append(w.asked, note)
+		}
+	case "decide", "redecide":
+		if w.asked[n].Serial > w.note.Serial {
+			w.note = w.asked[n]
+		}
+		if what == "decide" {
+			w.asked = slices.Delete(w.asked, n, n+1)
 		}
 	case "noted":
-		w.owner.Noted(true)
-		w.asked = nil
+		outcome := Refused
+		if w.note.String() == w.waits.String() && w.note.Serial == w.waits.Serial {
+			outcome = Agreed
+		}
+		w.owner.Noted(outcome)
+		w.waits = nil
+	case "silence":
+		w.owner.Noted(Unknown)
+		w.waits = nil
+	case "restart": // of the process, with its folder and its lease
+		w.owner = NewOwner("owner", 1, patience, w.places[len(w.places)-1])
+		w.owner.Granted(w.note, w.epoch, w.note.Serial)
+		w.waits, w.acks = nil, nil
 	case "cover":
 		if ticket, short, ok := w.owner.Covered(w.now, true); ok && !short {
 			w.said = max(w.said, int(ticket))
@@ -176,7 +206,7 @@
 }
 
 func (w *world) key() string {
-	return fmt.Sprint(w.owner.note, w.owner.asked, w.owner.acked, w.owner.wants, w.owner.covered, w.owner.tickets, w.dead, w.note, w.asked != nil, w.shelves, w.wrote, w.frames, w.said, w.acks, w.heir)
+	return fmt.Sprint(w.owner.note, w.owner.asked, w.owner.acked, w.owner.wants, w.owner.covered, w.owner.tickets, w.owner.doubted, w.owner.settled, w.dead, w.note, w.asked, w.waits != nil, w.shelves, w.wrote, w.frames, w.said, w.acks, w.heir)
 }
 
 // Whatever order frames, answers, notes and the loss of the owner come in: an heir that reads the noted holders has every record that was ever said
@@ -213,6 +243,32 @@
 	t.Logf("%d states, to a depth of %d", len(seen), depth)
 }
 
+// likely is how often a kind of action is done on a walk, against the others that can be done: mostly what was sent arrives, and what was asked
+// for is answered.
+var likely = map[string]int{
+	"write": 4, "want": 3, "ask": 8, "silence": 2, "noted": 8, "cover": 8, "restart": 1, "ack": 8, "send": 8, "lose": 1, "inherit": 20,
+	"decide": 6, "redecide": 1, "arrive": 8, "again": 1,
+}
+
+// draw picks one of some actions.
+func draw(rng *rand.Rand, all []string) string {
+	weight := func(action string) int {
+		kind, _, _ := strings.Cut(action, " ")
+		return likely[kind]
+	}
+	sum := 0
+	for _, a := range all {
+		sum += weight(a)
+	}
+	at := rng.IntN(sum)
+	for _, a := range all {
+		if at -= weight(a); at < 0 {
+			return a
+		}
+	}
+	return all[len(all)-1]
+}
+
 // The same by walks that go deeper, and mostly forward: what was sent arrives, what was asked is answered.
 func TestWalks(t *testing.T) {
 	for seed := range uint64(12000) {
@@ -224,12 +280,7 @@
 			if len(can) == 0 {
 				break
 			}
-			a := can[rng.IntN(len(can))]
-			for i := range 3 { // of the rarer kinds only now and then
-				if strings.HasPrefix(a, "want") || strings.HasPrefix(a, "again") || a == "lose" && i < 2 {
-					a = can[rng.IntN(len(can))]
-				}
-			}
+			a := draw(rng, can)
 			path = append(path, a)
 			if err := w.do(a); err != nil {
 				t.Fatalf("seed %d: %v, after %v", seed, err, path)
@@ -238,6 +289,34 @@
 	}
 }
 
+// Guards against a note of which the owner knows too little: what it says to be held has to stand at whoever the voters have in the note, or come to.
+func TestANoteWithoutAnAnswerMayStand(t *testing.T) {
+	const (
+		heldByA  = "want a, send a, ack 0, ask, decide 0, noted, write, send a, arrive 0, ack 0, ack 0, cover, "
+		bHasIt   = "want b, send b, arrive 0, ack 0, ack 0, ask, "
+		aHasMore = "write, send a, arrive 0, ack 0, ack 0, cover, "
+		backToA  = "want a, send a, ack 0, ask, "
+	)
+	for name, path := range map[string]string{
+		"agreed on, the answer on its way":           heldByA + bHasIt + "decide 0, " + aHasMore,
+		"agreed on, the answer lost":                 heldByA + bHasIt + "decide 0, silence, " + aHasMore,
+		"agreed on late":                             heldByA + bHasIt + "silence, " + aHasMore + "decide 0, ",
+		"it comes after a later one":                 heldByA + bHasIt + "silence, " + backToA + "decide 1, noted, decide 0, " + aHasMore,
+		"of the process before":                      heldByA + bHasIt + "restart, want a, " + aHasMore + "decide 0, ",
+		"of the process before, after a further one": heldByA + bHasIt + "silence, ask, restart, " + backToA + "decide 2, noted, decide 1, " + aHasMore,
+	} {
+		w := newWorld()
+		for _, action := range append(strings.Split(strings.TrimSuffix(path, ", "), ", "), "lose", "inherit") {
+			if !slices.Contains(w.actions(), action) {
+				t.Fatalf("%s: %s can't be done", name, action)
+			}
+			if err := w.do(action); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+	}
+}
+
 // An heir reads the noted holder that has most, waits where none answers, and names those that differ at one place.
 func TestHeir(t *testing.T) {
 	at := func(mark uint64, b byte) Shelf { return Shelf{At: Chain{Mark: mark, Digest: [32]byte{b}}} }
@@ -296,11 +375,11 @@
 // that is agreed on.
 func TestOwner(t *testing.T) {
 	o := NewOwner("owner", 1, patience, Chain{})
-	o.Granted(Note{}, 1)
+	o.Granted(Note{}, 1, 0)
 	if note, ok := o.Ask(0, false); !ok || note.String() != "@1" || o.IsNoted() {
 		t.Error("an owner does not note its epoch", note, ok)
 	}
-	o.Noted(true)
+	o.Noted(Agreed)
 	if _, ok := o.Ask(0, false); ok || o.Holds(0) {
 		t.Error("holders are noted that there are not")
 	}
@@ -317,7 +396,7 @@
 	if !ok || note.String() != "a@1" || o.Holds(0) {
 		t.Errorf("%v, %v", note, ok)
 	}
-	o.Noted(true)
+	o.Noted(Agreed)
 	o.Wrote(0, 2, Chain{Mark: 20})
 	o.Wrote(0, 3, Chain{Mark: 30})
 	o.Acked("a", 20)
@@ -346,11 +425,11 @@
 	if _, short, ok := o.Covered(20, true); ok && !short {
 		t.Error("alone before it is agreed on")
 	}
-	o.Noted(true)
+	o.Noted(Agreed)
 	if n, short, ok := o.Covered(20, true); n != 4 || short || !ok || !o.Alone() {
 		t.Error(n, short, ok)
 	}
-	o.Granted(o.Note(), 2) // the lease had ended, and is had again
+	o.Granted(o.Note(), 2, 0) // the lease had ended, and is had again
 	o.Wrote(21, 5, Chain{Mark: 50})
 	if _, _, ok := o.Covered(21, true); ok || o.Holds(21) {
 		t.Error("held before the voters know of the new epoch")
@@ -360,9 +439,9 @@
 // An heir that held the stream itself stands in its note until further nodes have all of it, and is none of them.
 func TestHeirIsNoHolder(t *testing.T) {
 	o := NewOwner("b", 1, patience, Chain{Mark: 10})
-	o.Granted(Note{Holders: []string{"b"}, Epoch: 3}, 4)
+	o.Granted(Note{Holders: []string{"b"}, Epoch: 3}, 4, 0)
 	o.Ask(0, false)
-	o.Noted(true)
+	o.Noted(Agreed)
 	o.Acked("b", 99)
 	o.Wrote(0, 1, Chain{Mark: 20})
 	if _, _, ok := o.Covered(1, true); ok || o.Holds(1) || len(o.Targets()) != 0 {
@@ -373,7 +452,7 @@
 	if note, ok := o.Ask(2, false); !ok || note.String() != "c@4" {
 		t.Errorf("%v, %v", note, ok)
 	}
-	o.Noted(true)
+	o.Noted(Agreed)
 	if n, short, ok := o.Covered(3, true); n != 1 || short || !ok {
 		t.Error(n, short, ok)
 	}
@@ -428,17 +507,21 @@
 
 func TestPlantedFaultsAreFound(t *testing.T) {
 	file := "peers/copies/copies.go"
-	planted.Check(t, "../..", "./peers/copies", "^(TestWalks|TestShelf|TestOwner|TestHeir|TestHeirIsNoHolder)$", []planted.Fault{
+	planted.Check(t, "../..", "./peers/copies", "^(TestWalks|TestANoteWithoutAnAnswerMayStand|TestShelf|TestOwner|TestHeir|TestHeirIsNoHolder)$", []planted.Fault{
 		{Name: "said before it is held", File: file, Old: "least = min(least, o.acked[name])", New: "least = max(o.acked[name], least)"},
 		{Name: "a past epoch is accepted", File: file, Old: "case f.Epoch < s.Fence || f.Epoch < s.Epoch:", New: "case f.Epoch+9 < s.Fence:"},
 		{Name: "the longest stream is not taken", File: file, Old: "cmp.Compare(f.Shelf.Epoch, found[best].Shelf.Epoch)) > 0:", New: "cmp.Compare(f.Shelf.Epoch, found[best].Shelf.Epoch)) < 0:"},
 		{Name: "the digest is not compared", File: file, Old: "case f.Before == s.At:", New: "case f.Before.Mark == s.At.Mark:"},
 		{Name: "new holders count before they have what the old ones have", File: file, Old: "return o.held(names) >= o.oldest()", New: "return true"},
-		{Name: "holders count before they are noted", File: file, Old: "mark = o.held(further)", New: "mark = o.held(o.wants)"},
-		{Name: "held without the lease", File: file, Old: "further := o.further(); leased && len(further) >= o.k {", New: "further := o.further(); len(further) >= o.k {"},
-		{Name: "alone before it is agreed on", File: file, Old: "leased && o.note.Alone", New: "leased && (o.note.Alone || o.asked != nil && o.asked.Alone)"},
+		{Name: "holders count before they are noted", File: file, Old: "return o.held(further)", New: "return o.held(o.wants)"},
+		{Name: "held without the lease", File: file, Old: "	if leased {\n		mark", New: "	if true {\n		mark"},
+		{Name: "alone before it is agreed on", File: file, Old: "	if note.Alone {\n", New: "	if note.Alone || o.asked != nil && o.asked.Alone {\n"},
 		{Name: "held before the epoch is noted", File: file, Old: "	leased = leased && o.IsNoted()\n", New: ""},
-		{Name: "an heir counts itself", File: file, Old: "	if !slices.Contains(o.note.Holders, o.self) {", New: "	if true {"},
+		{Name: "an heir counts itself", File: file, Old: "	if !slices.Contains(note.Holders, o.self) {", New: "	if true {"},
+		{Name: "a note whose answer is not heard counts for nothing", File: file, Old: "all := append([]Note{o.note}, o.doubted...)", New: "all := []Note{o.note}"},
+		{Name: "a note that is asked for counts for nothing until it is answered", File: file, Old: "	if o.asked != nil {\n		all", New: "	if false {\n		all"},
+		{Name: "notes of an earlier process are forgotten", File: file, Old: "o.settled, o.asked, o.doubted = false, nil, nil", New: "o.settled, o.asked, o.doubted = true, nil, nil"},
+		{Name: "notes are numbered anew by each process", File: file, Old: "serial+serialsOfProcess", New: "serial"},
 		{Name: "anybody's copy is read", File: file, Old: "if !slices.Contains(note.Holders, f.Holder) {", New: "if false {"},
 	})
 }
--- a/peers/heirs.go
+++ b/peers/heirs.go
@@ -143,8 +143,11 @@
 		if st == nil {
 			continue
 		}
-		note := copies.Note{Holders: st.owner.Note().Holders, Over: true, Epoch: st.epoch}
-		if _, err := c.s.leases.commandAs(ctx, lease.Command{Do: lease.Note, Name: st.name, Token: st.epoch, Reason: note.String()}, c.life); err != nil {
+		c.mu.Lock()
+		note, epoch := st.owner.End(), st.epoch
+		st.closed = true
+		c.mu.Unlock()
+		if _, err := c.askNote(ctx, st.name, epoch, note); err != nil {
 			c.s.o.Log.Warn("the end of an inherited journal is not noted: others may look at it again", "stream", st.name, "err", err)
 		}
 		c.mu.Lock()
@@ -193,11 +196,10 @@
 		return d, nil
 	}
 	c.mu.Lock()
-	note, epoch := st.owner.Note(), st.epoch
+	note, epoch := st.owner.End(), st.epoch
 	st.closed = true
 	c.mu.Unlock()
-	note.Over, note.Epoch = true, epoch
-	r, err := c.s.leases.commandAs(ctx, lease.Command{Do: lease.Note, Name: st.name, Token: epoch, Reason: note.String()}, c.life)
+	r, err := c.askNote(ctx, st.name, epoch, note)
 	d.Done = err == nil && r.Done
 	return d, err
 }
--- a/peers/lease/holder.go
+++ b/peers/lease/holder.go
@@ -34,7 +34,9 @@
 type Grip struct {
 	Token uint64
 	Until time.Duration // by the holder's clock
-	Note  string        // as of the last answer
+	// Note and Serial are the lease's, as of the last answer.
+	Note   string
+	Serial uint64
 }
 
 // Heard is what the voters told last of a name that this holder wants and does not have.
@@ -148,7 +150,7 @@
 		g = Grip{Token: a.Lease.Token}
 	}
 	if a.Lease.Token == g.Token && until > g.Until {
-		g.Until, g.Note = until, a.Lease.Note
+		g.Until, g.Note, g.Serial = until, a.Lease.Note, a.Lease.Serial
 	}
 	h.grips[q.name] = g
 	return true
--- a/peers/lease/lease_test.go
+++ b/peers/lease/lease_test.go
@@ -277,3 +277,39 @@
 		{Name: "a lost folder keeps its vote", File: node, Old: "\tif !slices.Contains(voters, self.Name) {\n\t\treturn n, nil\n\t}\n", New: "\tif !slices.Contains(voters, self.Name) {\n\t\treturn n, nil\n\t}\n\tdraw = func() uint64 { return uint64(self.Name[1]) }\n"},
 	})
 }
+
+// Guards against a note that overtook a later one and takes its place.
+func TestALateNoteDoesNotReplaceALaterOne(t *testing.T) {
+	tab := newTable()
+	owner := Owner{"n", 1}
+	token := tab.apply(Command{Do: Take, Name: name, Owner: owner}).Lease.Token
+	write := func(text string, serial uint64) Result {
+		return tab.apply(Command{Do: Note, Name: name, Owner: owner, Token: token, Reason: text, Serial: serial})
+	}
+	for _, c := range []struct {
+		text   string
+		serial uint64
+		done   bool
+		want   string
+	}{
+		{"a", 5, true, "a"},
+		{"b", 7, true, "b"},
+		{"c", 6, false, "b"}, // late
+		{"b", 7, true, "b"},  // a repeat
+		{"d", 7, false, "b"}, // of another process
+		{"a", 5, false, "b"},
+	} {
+		if r := write(c.text, c.serial); r.Done != c.done || r.Lease.Note != c.want || tab.Notes[name] != c.want {
+			t.Errorf("%q by %d: %+v", c.text, c.serial, r)
+		}
+	}
+	tab.apply(Command{Do: Take, Name: name, Owner: owner}) // a renewal
+	if r := write("a", 6); r.Done {
+		t.Errorf("after a renewal: %+v", r)
+	}
+	tab.apply(Command{Do: Release, Name: name, Owner: owner, Token: token})
+	token = tab.apply(Command{Do: Take, Name: name, Owner: owner}).Lease.Token
+	if r := write("e", 1); !r.Done || r.Lease.Note != "e" {
+		t.Errorf("under the next token: %+v", r)
+	}
+}
--- a/peers/lease/table.go
+++ b/peers/lease/table.go
@@ -27,6 +27,8 @@
 	Renewals uint64 `json:"renewals"`
 	// Note is what its holder, or the one before, had the voters write down with it.
 	Note string `json:"note,omitempty"`
+	// Serial is that of the last note under this token.
+	Serial uint64 `json:"serial,omitempty"`
 }
 
 // Do is what a command does to the table.
@@ -52,6 +54,9 @@
 	Token    uint64 `json:"token,omitempty"`
 	Renewals uint64 `json:"renewals,omitempty"`
 	Reason   string `json:"reason,omitempty"` // Force, Note
+	// Serial orders the notes under one token: one that comes after a later one is refused, since requests may overtake each other.
+	// With 0 a note takes the place of any.
+	Serial uint64 `json:"serial,omitempty"`
 	// Above is the largest token that the asker knows of. What is granted is larger: a group that was founded anew, because a majority
 	// of its folders was lost, goes on above all that anybody remembers.
 	Above uint64 `json:"above,omitempty"`
@@ -191,6 +196,11 @@
 	if !held || l.Owner != c.Owner || l.Token != c.Token || len(c.Reason) > maxNote || !was && len(t.Notes) >= mostNotes {
 		return Result{Lease: l}
 	}
+	if c.Serial != 0 && c.Serial <= l.Serial {
+		again := c.Serial == l.Serial && c.Reason == l.Note
+		return Result{Done: again, Lease: l}
+	}
+	l.Serial = c.Serial
 	if l.Note = c.Reason; c.Reason == "" {
 		delete(t.Notes, c.Name)
 	} else {
--- a/peers/link/leases.go
+++ b/peers/link/leases.go
@@ -24,7 +24,7 @@
 	for _, a := range m.Answers {
 		l := a.Lease
 		out.Answers = append(out.Answers, &peerspb.LeaseResult{
-			Asker: a.Asker, Ask: a.Ask, Done: a.Done, Name: l.Name, Owner: l.Owner.Name, Life: l.Owner.Life, Token: l.Token, Renewals: l.Renewals, Place: uint32(a.Place), Note: l.Note,
+			Asker: a.Asker, Ask: a.Ask, Done: a.Done, Name: l.Name, Owner: l.Owner.Name, Life: l.Owner.Life, Token: l.Token, Renewals: l.Renewals, Place: uint32(a.Place), Note: l.Note, Serial: l.Serial,
 		})
 	}
 	return out
@@ -34,7 +34,7 @@
 func CommandToProto(c *lease.Command) *peerspb.LeaseCommand {
 	return &peerspb.LeaseCommand{
 		Do: uint32(c.Do), Name: c.Name, Owner: c.Owner.Name, Life: c.Owner.Life, Token: c.Token, Renewals: c.Renewals, Reason: c.Reason, Above: c.Above,
-		Asker: c.Asker, Ask: c.Ask,
+		Asker: c.Asker, Ask: c.Ask, Serial: c.Serial,
 	}
 }
 
@@ -45,7 +45,7 @@
 	return lease.Command{
 		Do: lease.Do(r.within("a command", uint64(c.GetDo()), math.MaxUint8)), Name: r.text("a lease", c.GetName()),
 		Owner: lease.Owner{Name: r.text("an owner", c.GetOwner()), Life: c.GetLife()}, Token: c.GetToken(), Renewals: c.GetRenewals(), Reason: c.GetReason(),
-		Above: c.GetAbove(), Asker: r.text("an asker", c.GetAsker()), Ask: c.GetAsk(),
+		Above: c.GetAbove(), Asker: r.text("an asker", c.GetAsker()), Ask: c.GetAsk(), Serial: c.GetSerial(),
 	}
 }
 
@@ -69,7 +69,7 @@
 	for _, a := range m.GetAnswers() {
 		out.Answers = append(out.Answers, lease.Answer{Asker: r.text("an asker", a.GetAsker()), Ask: a.GetAsk(), Result: lease.Result{
 			Done: a.GetDone(), Place: int(r.within("a place", uint64(a.GetPlace()), math.MaxUint8)),
-			Lease: lease.Lease{Name: r.text("a lease", a.GetName()), Owner: lease.Owner{Name: r.text("an owner", a.GetOwner()), Life: a.GetLife()}, Token: a.GetToken(), Renewals: a.GetRenewals(), Note: r.text("a note", a.GetNote())},
+			Lease: lease.Lease{Name: r.text("a lease", a.GetName()), Owner: lease.Owner{Name: r.text("an owner", a.GetOwner()), Life: a.GetLife()}, Token: a.GetToken(), Renewals: a.GetRenewals(), Note: r.text("a note", a.GetNote()), Serial: a.GetSerial()},
 		}})
 	}
 	return out
