Leases: an answer to an earlier process of a node grants nothing

Cause: each process numbers its questions from the beginning, an answer named node and number alone, and a folder's lease belongs to all processes of it. A voter that starts again answered the questions in its log anew, so that answers of any age were about.

Evidence: TestAnAnswerToAnEarlierProcessGrantsNothing and TestAVoterAnswersNothingOfItsLogAgain failed before (both are planted faults now).

Mend: a question's life goes with it and comes back with the answer; one of another life is dropped, counted and logged. What the log had as committed at the start is answered to nobody.

Measured: go test -race of peers, lease, link and copies passes.

--- a/peers/lease/holder.go
+++ b/peers/lease/holder.go
@@ -126,15 +126,15 @@
 		}
 		h.ask++
 		h.asked[name], h.open[h.ask] = now, question{name, now}
-		all = append(all, Command{Do: Take, Name: name, Owner: h.wanted[name], Above: h.above, Asker: h.owner.Name, Ask: h.ask})
+		all = append(all, Command{Do: Take, Name: name, Owner: h.wanted[name], Above: h.above, Asker: h.owner.Name, AskerLife: h.owner.Life, Ask: h.ask})
 	}
 	return all
 }
 
-// Answered takes an answer, and tells whether it was to a question of this holder.
+// Answered takes an answer, and tells whether it was to a question of this holder. One to a question of an earlier process of the same name is not.
 func (h *Holder) Answered(a Answer) bool {
 	q, ok := h.open[a.Ask]
-	if !ok || a.Asker != h.owner.Name || q.name != a.Lease.Name {
+	if !ok || !a.isFor(h.owner) || q.name != a.Lease.Name {
 		return false
 	}
 	delete(h.open, a.Ask)
--- a/peers/lease/lease_test.go
+++ b/peers/lease/lease_test.go
@@ -35,6 +35,12 @@
 		voters := rapid.SampledFrom([]int{3, 5}).Draw(t, "voters")
 		w := newWorld(t, voters, 2, rapid.Uint64().Draw(t, "seed"))
 		w.often = rapid.Bool().Draw(t, "snapshots often")
+		if w.folders = rapid.Bool().Draw(t, "folders"); w.folders {
+			for i := range w.all {
+				w.start(i)
+			}
+			w.ghosts = nil
+		}
 		w.run(8 * time.Second)
 		spoilt := map[int]bool{} // voters whose folders are not what they were; a minority but in case 11
 		for range rapid.IntRange(2, 9).Draw(t, "troubles") {
@@ -260,7 +266,7 @@
 
 func TestPlantedFaultsAreFound(t *testing.T) {
 	voter, holder, tab, adm, node := "peers/lease/voter.go", "peers/lease/holder.go", "peers/lease/table.go", "peers/lease/admission.go", "peers/lease/node.go"
-	planted.Check(t, "../..", "./peers/lease", "^(TestOneHolder|TestOldFolders|TestHandingOn|TestTable|TestLine)$", []planted.Fault{
+	planted.Check(t, "../..", "./peers/lease", "^(TestOneHolder|TestOldFolders|TestHandingOn|TestTable|TestLine|TestAnAnswerToAnEarlierProcessGrantsNothing|TestAVoterAnswersNothingOfItsLogAgain)$", []planted.Fault{
 		{Name: "a holder that gave a name back goes on", File: holder, Old: "h.grips[name]\n\tdelete(h.grips, name)\n\tfor", New: "h.grips[name]\n\tfor"},
 		{Name: "a holder counts from the next question", File: holder, Old: "until := h.grips[q.name], q.at+h.cfg.Term", New: "until := h.grips[q.name], h.asked[q.name]+2*h.cfg.Term"},
 		{Name: "drift is forgotten", File: voter, Old: "float64(s.Term) * (1 + s.Drift) / (1 - s.Drift)", New: "float64(s.Term) * (1 - s.Drift)"},
@@ -274,6 +280,8 @@
 		{Name: "a group that follows on another grants at once", File: node, Old: "n.voter, n.quiet = v, now+n.cfg.kept()", New: "n.voter, n.quiet = v, now"},
 		{Name: "a group whose folders were lost is waited for", File: adm, Old: "return now-a.whole > a.ticks(lockTicks)", New: "return false && now > a.whole"},
 		{Name: "a snapshot that got lost is not sent again", File: voter, Old: "v.node.ReportSnapshot(id, raft.SnapshotFailure)", New: "_ = id"},
+		{Name: "an answer to any process of the name is taken", File: voter, Old: "(a.Life == o.Life || a.Life == 0)", New: "true"},
+		{Name: "what is in the log is answered again", File: voter, Old: " && v.applied > v.past {", New: " {"},
 		{Name: "a lost folder keeps its vote", File: node, Old: "\tif !slices.Contains(voters, self.Name) {\n\t\treturn n, nil\n\t}\n", New: "\tif !slices.Contains(voters, self.Name) {\n\t\treturn n, nil\n\t}\n\tdraw = func() uint64 { return uint64(self.Name[1]) }\n"},
 	})
 }
@@ -313,3 +321,59 @@
 		t.Errorf("under the next token: %+v", r)
 	}
 }
+
+// Guards against an answer to an earlier process, which is taken for the answer to this one's question of the same number.
+func TestAnAnswerToAnEarlierProcessGrantsNothing(t *testing.T) {
+	const folder, ofThis, before = 77, 2, 1
+	for _, life := range []uint64{before, ofThis} {
+		n, err := NewNode(Settings{Term: time.Second, Drift: 0.1, Tick: 10 * ms}, Owner{"a", ofThis}, []string{"v"}, nil, rand.New(rand.NewPCG(1, 1)).Uint64, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.Holder().WantAs(name, folder)
+		asked := n.Holder().Tick(0)
+		noted := false
+		n.Call(0, Command{Do: Note, Name: name}, func(Result, bool) { noted = true })
+		held := Result{Done: true, Lease: Lease{Name: name, Owner: Owner{"a", folder}, Token: 5}}
+		answers := []Answer{{Asker: "a", Life: life, Ask: asked[0].Ask, Result: held}, {Asker: "a", Life: life, Ask: n.next, Result: held}}
+		if err := n.Take(ms, "v", 9, Message{Kind: Tell, Answers: answers}); err != nil {
+			t.Fatal(err)
+		}
+		if _, may := n.Holder().May(ms, name, 0); may != (life == ofThis) || noted != (life == ofThis) {
+			t.Errorf("an answer to life %d, in life %d: it may act %v, its note is answered %v", life, ofThis, may, noted)
+		}
+	}
+}
+
+// Guards against a voter that answers the questions in its log anew at each start.
+func TestAVoterAnswersNothingOfItsLogAgain(t *testing.T) {
+	w := newWorld(t, 1, 1, 3)
+	w.run(9 * time.Second)
+	kept := w.all[0].disk.copied()
+	v, err := NewVoter(w.cfg, kept.Identity.ID, &kept.State, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	carriedOut := v.Applied()
+	for now := time.Duration(0); now < w.cfg.Term; now += w.cfg.Tick { // the lease that was found lasts
+		v.Tick(now)
+		for {
+			out, ok, err := v.Output(now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !ok {
+				break
+			}
+			if len(out.Answers) > 0 {
+				t.Fatalf("it answers %+v", out.Answers)
+			}
+			if _, err := v.Done(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if v.Applied() <= carriedOut || len(v.Leases()) == 0 {
+		t.Errorf("it has carried out nothing: applied %d, leases %v", v.Applied(), v.Leases())
+	}
+}
--- a/peers/lease/node.go
+++ b/peers/lease/node.go
@@ -86,7 +86,8 @@
 type Event struct {
 	What  What
 	Lease Lease  // Granted, Lost
-	Text  string // Standing, Reconfigured, Forced: in words
+	Text  string // Standing, Reconfigured, Forced, Stray: in words
+	Count int    // Stray: how many there have been
 }
 
 // What an event is.
@@ -102,6 +103,7 @@
 	Reconfigured                 // the voters are others
 	Leading                      // this voter leads now
 	Following                    // it does not any more
+	Stray                        // an answer to a question of another process has come, and was dropped
 )
 
 // Node is one node's side of all leases: a holder, and a voter where it is one. It is the whole of what package peers runs
@@ -121,6 +123,7 @@
 	grips  map[string]uint64 // tokens of what was held at the last look
 	calls  map[uint64]call
 	next   uint64 // of calls
+	strays int    // answers to questions of other processes
 	turn   int    // the voter that is asked
 	asked  time.Duration
 	heard  time.Duration // when a voter last answered
@@ -194,7 +197,7 @@
 // command may have been carried out or may still be.
 func (n *Node) Call(now time.Duration, c Command, done func(r Result, ok bool)) {
 	n.next++
-	c.Asker, c.Ask = n.self.Name, n.next
+	c.Asker, c.AskerLife, c.Ask = n.self.Name, n.self.Life, n.next
 	n.calls[c.Ask] = call{now, done}
 	n.ask([]Command{c})
 }
@@ -228,7 +231,7 @@
 			n.remember(c.Above)
 			if v := n.Voter(); v != nil && c.Do != Expire && (c.Do != Take || now >= n.quiet) { // an end is only for voters to say
 				if c.Asker != "" {
-					c.Asker = from
+					c.Asker, c.AskerLife = from, life
 				}
 				c.Above = max(c.Above, n.adm.id.Floor)
 				if err := v.Propose(c); err != nil {
@@ -239,7 +242,12 @@
 	case Tell:
 		n.heard, n.asked = now, now
 		for _, a := range m.Answers {
-			if c, ok := n.calls[a.Ask]; ok && a.Asker == n.self.Name {
+			if !a.isFor(n.self) {
+				n.strays++
+				n.events = append(n.events, Event{What: Stray, Lease: a.Lease, Text: fmt.Sprintf("%s, life %016x", a.Asker, a.Life), Count: n.strays})
+				continue
+			}
+			if c, ok := n.calls[a.Ask]; ok {
 				delete(n.calls, a.Ask)
 				c.done(a.Result, true)
 				continue
--- a/peers/lease/table.go
+++ b/peers/lease/table.go
@@ -46,7 +46,7 @@
 	Note                  // writes Reason down with the lease of a token, by its owner; it outlasts the lease
 )
 
-// Command is an entry of the log. Asker, Ask and Via name the question that it came by and the voter that answers it.
+// Command is an entry of the log. Asker, AskerLife, Ask and Via name the question that it came by and the voter that answers it.
 type Command struct {
 	Do       Do     `json:"do"`
 	Name     string `json:"name"`
@@ -61,8 +61,10 @@
 	// of its folders was lost, goes on above all that anybody remembers.
 	Above uint64 `json:"above,omitempty"`
 	Asker string `json:"asker,omitempty"`
-	Ask   uint64 `json:"ask,omitempty"`
-	Via   uint64 `json:"via,omitempty"`
+	// AskerLife is the process that asked. Each process numbers its questions from the beginning.
+	AskerLife uint64 `json:"asker_life,omitempty"`
+	Ask       uint64 `json:"ask,omitempty"`
+	Via       uint64 `json:"via,omitempty"`
 }
 
 // Result is what became of a command.
--- a/peers/lease/voter.go
+++ b/peers/lease/voter.go
@@ -70,10 +70,14 @@
 // Answer goes to who asked.
 type Answer struct {
 	Asker string
+	Life  uint64 // of the process that asked; 0 from a voter of a build that does not tell it
 	Ask   uint64
 	Result
 }
 
+// isFor tells whether an answer is to a question of a process.
+func (a Answer) isFor(o Owner) bool { return a.Asker == o.Name && (a.Life == o.Life || a.Life == 0) }
+
 // Output is what a voter wants done, in this order: Write made durable, then Messages and Answers sent, then Done called. Nothing
 // else may be asked of the voter in between.
 type Output struct {
@@ -105,6 +109,7 @@
 	seen    map[string]seen
 	conf    *raftpb.ConfState
 	applied uint64
+	past    uint64 // index of the last entry that an earlier process of the voter may have answered
 	since   uint64 // entries applied since the last snapshot
 	nextAt  time.Duration
 	ready   *raft.Ready
@@ -138,6 +143,7 @@
 	}
 	if state != nil {
 		if state.Hard != nil {
+			v.past = state.Hard.GetCommit()
 			if err := v.storage.SetHardState(state.Hard); err != nil {
 				return nil, fmt.Errorf("lease: %w", err)
 			}
@@ -384,8 +390,8 @@
 	if r.Done && c.Do == Force {
 		out.Forced = append(out.Forced, c)
 	}
-	if c.Asker != "" && c.Via == v.id {
-		out.Answers = append(out.Answers, Answer{c.Asker, c.Ask, r})
+	if c.Asker != "" && c.Via == v.id && v.applied > v.past {
+		out.Answers = append(out.Answers, Answer{c.Asker, c.AskerLife, c.Ask, r})
 	}
 	return nil
 }
--- a/peers/lease/world_test.go
+++ b/peers/lease/world_test.go
@@ -82,6 +82,8 @@
 	cut    map[[2]int]bool
 	loss   float64
 	often  bool // snapshots are made
+	// The name is wanted by folders: the processes of a place are one owner, and none goes on once the next one starts.
+	folders bool
 	// So many messages with a snapshot get lost.
 	dropSnaps int
 	// What one place costs, where it is measured: time inside its machine, what it sends, and writes that are synced.
@@ -126,7 +128,11 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	n.Holder().Want(name)
+	if w.folders {
+		n.Holder().WantAs(name, uint64(1000+i))
+	} else {
+		n.Holder().Want(name)
+	}
 	p.Node, p.down, p.stopped = n, false, false
 }
 
@@ -134,7 +140,9 @@
 	p := w.all[i]
 	if !p.down {
 		p.down = true
-		w.ghosts = append(w.ghosts, ghost{p.Node, p}) // its process may only be cut off, and go on acting
+		if !w.folders {
+			w.ghosts = append(w.ghosts, ghost{p.Node, p}) // its process may only be cut off, and go on acting
+		}
 	}
 }
 
--- a/peers/leases.go
+++ b/peers/leases.go
@@ -223,6 +223,8 @@
 			log.Info("leads the voters of leases")
 		case lease.Following:
 			log.Info("leads the voters of leases no more")
+		case lease.Stray:
+			log.Warn("an answer on leases to another process is dropped", "lease", e.Lease.Name, "to", e.Text, "this_life", fmt.Sprintf("%016x", l.s.self.Life), "count", e.Count)
 		}
 	}
 }
--- a/peers/link/leases.go
+++ b/peers/link/leases.go
@@ -24,7 +24,7 @@
 	for _, a := range m.Answers {
 		l := a.Lease
 		out.Answers = append(out.Answers, &peerspb.LeaseResult{
-			Asker: a.Asker, Ask: a.Ask, Done: a.Done, Name: l.Name, Owner: l.Owner.Name, Life: l.Owner.Life, Token: l.Token, Renewals: l.Renewals, Place: uint32(a.Place), Note: l.Note, Serial: l.Serial,
+			Asker: a.Asker, AskerLife: a.Life, Ask: a.Ask, Done: a.Done, Name: l.Name, Owner: l.Owner.Name, Life: l.Owner.Life, Token: l.Token, Renewals: l.Renewals, Place: uint32(a.Place), Note: l.Note, Serial: l.Serial,
 		})
 	}
 	return out
@@ -67,7 +67,7 @@
 		out.Commands = append(out.Commands, r.command(c))
 	}
 	for _, a := range m.GetAnswers() {
-		out.Answers = append(out.Answers, lease.Answer{Asker: r.text("an asker", a.GetAsker()), Ask: a.GetAsk(), Result: lease.Result{
+		out.Answers = append(out.Answers, lease.Answer{Asker: r.text("an asker", a.GetAsker()), Life: a.GetAskerLife(), Ask: a.GetAsk(), Result: lease.Result{
 			Done: a.GetDone(), Place: int(r.within("a place", uint64(a.GetPlace()), math.MaxUint8)),
 			Lease: lease.Lease{Name: r.text("a lease", a.GetName()), Owner: lease.Owner{Name: r.text("an owner", a.GetOwner()), Life: a.GetLife()}, Token: a.GetToken(), Renewals: a.GetRenewals(), Note: r.text("a note", a.GetNote()), Serial: a.GetSerial()},
 		}})
