--- a/internal/faults/copies_test.go
+++ b/internal/faults/copies_test.go
@@ -7,12 +7,15 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"starlingusher/internal/planted"
 	"starlingusher/internal/standin"
+	"starlingusher/peers"
 )
 
 // losses is a schedule in which machines are lost with their folders, or come back with old ones, one after another: each is back, and its
@@ -140,6 +143,76 @@
 	}
 }
 
+// Guards against an heir that takes a lost copy for an empty journal, so that the owner, which stood still, finds its own folder put aside.
+func TestACopyLostWhileItsOwnerStandsStillLosesNothing(t *testing.T) {
+	o := copyOptions(options(t, 40))
+	f, err := Start(t.Context(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	load, stop := context.WithCancel(t.Context())
+	defer stop()
+	loaded := make(chan struct{})
+	go func() {
+		defer close(loaded)
+		f.Load(load)
+	}()
+	owner := f.nodes[0]
+	var own peers.OwnLine
+	held := func(what string, ok func() bool) {
+		t.Helper()
+		until(t, f, what, func() bool {
+			st, err := f.Look(t.Context(), owner.i)
+			if err != nil || st.Copies == nil || len(st.Copies.Own) == 0 {
+				return false
+			}
+			own = st.Copies.Own[0]
+			return own.Holds && len(own.Holders) == 1 && ok()
+		})
+	}
+	again := func(n *node) {
+		if err := f.run(t.Context(), n); err != nil {
+			t.Fatal(err)
+		}
+	}
+	held("its journal is held", func() bool { return true })
+	holder := f.nodes[slices.IndexFunc(f.nodes, func(n *node) bool { return n.name == own.Holders[0] })]
+	f.kill(holder)
+	held("another holds it", func() bool { return own.Holders[0] != holder.name })
+	again(holder)
+	held("the first one holds it again", func() bool { return own.Holders[0] == holder.name })
+
+	if err := f.pause(owner, true); err != nil {
+		t.Fatal(err)
+	}
+	f.kill(holder)
+	if err := os.RemoveAll(filepath.Join(holder.folder, "state")); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.MkdirAll(filepath.Join(holder.folder, "state"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	again(holder)
+	until(t, f, "an heir looks for copies", func() bool {
+		for _, n := range f.nodes {
+			log, err := os.ReadFile(filepath.Join(n.folder, "log"))
+			if err == nil && regexp.MustCompile("inherit.*"+regexp.QuoteMeta(own.Stream)).Match(log) {
+				return true
+			}
+		}
+		return false
+	})
+	if err := f.pause(owner, false); err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	<-loaded
+	if err := errors.Join(f.Ends(t.Context()), f.history.Check()); err != nil {
+		t.Error(err)
+	}
+}
+
 // The rig can fail: faults of copies that rounds with lost machines find.
 func TestPlantedFaultsOfCopies(t *testing.T) {
 	plantedRounds(t, []plantedFault{
--- a/peers/copies.go
+++ b/peers/copies.go
@@ -75,6 +75,7 @@
 	heard   map[string]time.Duration // streams that are held: when their owners were last heard
 	nodes   []copies.Node            // that are there
 	reading map[string]bool          // streams that are being inherited
+	again   map[string]time.Duration // when streams that could not be inherited are tried again
 	leaves  bool                     // for good
 }
 
@@ -91,6 +92,7 @@
 	dir     string
 	owner   *copies.Owner
 	epoch   uint64
+	epochs  []uint64 // in which this folder has gone on with it, the last ones
 	frames  []copies.Frame
 	base    int // of the first frame's place among all
 	bytes   int
@@ -114,7 +116,7 @@
 	}
 	c := &Copies{
 		s: s, cfg: s.o.File.Copies, state: state, store: store, begun: s.now(), wake: make(chan struct{}, 1), fatal: make(chan error, 1), ready: make(chan struct{}),
-		streams: map[string]*stream{}, fresh: make(chan struct{}, 1), heard: map[string]time.Duration{}, reading: map[string]bool{},
+		streams: map[string]*stream{}, fresh: make(chan struct{}, 1), heard: map[string]time.Duration{}, reading: map[string]bool{}, again: map[string]time.Duration{},
 	}
 	for name := range store.Lines() {
 		c.heard[name] = c.begun
@@ -166,6 +168,10 @@
 	if err := c.s.leases.wantAs(ctx, name, c.life); err != nil {
 		return nil // the voters are not heard
 	}
+	mine, err := epochs(c.state)
+	if err != nil {
+		return fmt.Errorf("copies: %w", err)
+	}
 	past := ""
 	for past == "" && ctx.Err() == nil {
 		news := c.s.leases.news()
@@ -173,7 +179,7 @@
 			past = c.compare(ctx, name, g, chainOf(place))
 			break
 		}
-		if other, _ := c.s.leases.other(name); other != "" && other != c.s.self.Name {
+		if other := c.elsewhere(name, mine); other != "" {
 			past = other + " has taken it up"
 			break
 		}
@@ -260,6 +266,7 @@
 // own notes a stream of this node's. The lock is held.
 func (c *Copies) own(dir, name string, at copies.Chain) *stream {
 	st := &stream{name: name, dir: dir, owner: copies.NewOwner(c.s.self.Name, c.cfg.K, copyPatience, at), more: make(chan struct{}), senders: map[string]context.CancelFunc{}}
+	st.epochs, _ = epochs(dir) // an error says that nothing can be granted either
 	c.streams[dir] = st
 	return st
 }
@@ -354,6 +361,8 @@
 	tick := time.NewTicker(copyTick)
 	defer tick.Stop()
 	var heirAt, emptyAt time.Duration
+	emptied := make(chan struct{}, 1)
+	emptied <- struct{}{}
 	for {
 		select {
 		case <-tick.C:
@@ -381,9 +390,17 @@
 			heirAt = now + heirEvery
 			c.heirs(ctx, now)
 		}
-		if now >= emptyAt {
+		if now < emptyAt {
+			continue
+		}
+		select {
+		case <-emptied:
 			emptyAt = now + emptyEvery
-			c.work.Go(func() { c.empty(ctx) })
+			c.work.Go(func() {
+				c.empty(ctx)
+				emptied <- struct{}{}
+			})
+		default: // the voters have yet to answer
 		}
 	}
 }
@@ -398,7 +415,7 @@
 		c.work.Go(func() { c.s.leases.wantAs(ctx, st.name, c.life) }) // an error says that the node ends
 	}
 	g, leased := c.s.leases.grip(st.name)
-	switch other, _ := c.s.leases.other(st.name); {
+	switch other := c.elsewhere(st.name, st.epochs); {
 	case leased && g.Token != st.epoch:
 		note := copies.ParseNote(g.Note)
 		if err := st.grant(g.Token, note); err != nil {
@@ -413,8 +430,8 @@
 	case leased && !st.engine && st.owner.IsNoted():
 		st.engine = true
 		c.work.Go(func() { c.takeOn(ctx, st) })
-	case !leased && other != "" && other != c.s.self.Name:
-		if st.dir == c.state || st.engine {
+	case !leased && other != "":
+		if st.dir == c.state || st.engine && !st.closed {
 			c.past(st, other+" has taken it up")
 		} else {
 			c.forget(ctx, st, other+" has taken it up")
@@ -482,35 +499,70 @@
 	}
 }
 
+// elsewhere is who has the lease of a stream and has gone on with it, as the note says that is not of this folder's epochs: one that has the lease
+// alone may find nothing to go on with, and gives it back. It is empty for nobody, or if nothing was heard.
+func (c *Copies) elsewhere(name string, mine []uint64) string {
+	l := c.s.leases.heardOf(name).Lease
+	note := copies.ParseNote(l.Note)
+	goneOn := note.Over || note.Epoch != 0 && !slices.Contains(mine, note.Epoch)
+	if l.Owner.Name == c.s.self.Name || !goneOn {
+		return ""
+	}
+	return l.Owner.Name
+}
+
+// epochs are those in which a folder's stream was gone on with, the last ones.
+func epochs(dir string) (all []uint64, err error) {
+	text, err := os.ReadFile(filepath.Join(dir, epochsName))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, fmt.Errorf("its epochs can't be read: %w", err)
+	}
+	for _, word := range strings.Fields(string(text)) {
+		if n, err := strconv.ParseUint(word, 10, 64); err == nil {
+			all = append(all, n)
+		}
+	}
+	return all, nil
+}
+
+// writeEpochs keeps the last epochs of a folder's stream.
+func writeEpochs(dir string, all []uint64) error {
+	var text strings.Builder
+	for _, epoch := range all[max(len(all)-mostEpochs, 0):] {
+		fmt.Fprintln(&text, epoch)
+	}
+	if err := os.WriteFile(filepath.Join(dir, epochsName), []byte(text.String()), 0o600); err != nil {
+		return fmt.Errorf("its epoch can't be written: %w", err)
+	}
+	return nil
+}
+
 // epochsName names the file of the epochs that a stream's folder was gone on with in, the last ones.
 const (
 	epochsName = "copies.epochs"
-	mostEpochs = 4
+	mostEpochs = 64 // as often a folder may be granted its lease with no note agreed on
 )
 
 // grant takes a token for a stream. It is an error if the note says that another has gone on with it since this folder did.
 func (st *stream) grant(token uint64, note copies.Note) error {
-	path := filepath.Join(st.dir, epochsName)
-	text, err := os.ReadFile(path)
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return fmt.Errorf("its epochs can't be read: %w", err)
+	mine, err := epochs(st.dir)
+	if err != nil {
+		return err
 	}
-	mine := strings.Fields(string(text))
-	written := strconv.FormatUint(token, 10)
 	switch {
 	case note.Over:
 		return errors.New("another has ended it")
-	case st.heir || note.Epoch == 0 || note.Epoch == token || slices.Contains(mine, strconv.FormatUint(note.Epoch, 10)):
+	case st.heir || note.Epoch == 0 || note.Epoch == token || slices.Contains(mine, note.Epoch):
 	default:
 		return fmt.Errorf("another has gone on with it, by epoch %d", note.Epoch)
 	}
-	if !slices.Contains(mine, written) { // before the voters are asked to note it
-		mine = append(mine, written)
-		mine = mine[max(len(mine)-mostEpochs, 0):]
-		if err := os.WriteFile(path, []byte(strings.Join(mine, "\n")+"\n"), 0o600); err != nil {
-			return fmt.Errorf("its epoch can't be written: %w", err)
+	if !slices.Contains(mine, token) { // before the voters are asked to note it
+		mine = append(mine, token)
+		if err := writeEpochs(st.dir, mine); err != nil {
+			return err
 		}
 	}
+	st.epochs = mine
 	st.epoch, st.heir = token, false
 	return nil
 }
--- a/peers/copies/copies.go
+++ b/peers/copies/copies.go
@@ -495,6 +495,19 @@
 	return all
 }
 
+// epochPlaces is how many bytes of a stream have places of one epoch, and mostEpoch the last epoch whose places are its own.
+const (
+	epochPlaces = 1 << 40
+	mostEpoch   = 1<<24 - 1
+)
+
+// Begin is the place at which an heir goes on with what it has read. It is above all places of earlier epochs: nodes may still have records of
+// those that were never held, and that take no part in the stream from now on.
+func Begin(at Chain, epoch uint64) Chain {
+	at.Mark = max(at.Mark, min(epoch, mostEpoch)*epochPlaces)
+	return at
+}
+
 // Found is what an heir reads at one holder, once that has been fenced.
 type Found struct {
 	Holder string
@@ -502,7 +515,7 @@
 }
 
 // Heir decides where an heir reads, by the note that came with its grant. Missing says why it can't go on yet: none of the noted holders
-// has answered, or what they have differs at one place.
+// has answered, or has anything of the stream any more, or what they have differs at one place.
 func Heir(note Note, found []Found) (from string, missing string) {
 	best := -1
 	for i, f := range found {
@@ -510,6 +523,7 @@
 			continue // it may lack what was held after it was one
 		}
 		switch {
+		case f.Shelf.At.Mark == 0: // its folder was lost
 		case best < 0, cmp.Or(cmp.Compare(f.Shelf.At.Mark, found[best].Shelf.At.Mark), cmp.Compare(f.Shelf.Epoch, found[best].Shelf.Epoch)) > 0:
 			best = i
 		case f.Shelf.At.Mark == found[best].Shelf.At.Mark && f.Shelf.At.Digest != found[best].Shelf.At.Digest:
@@ -517,7 +531,7 @@
 		}
 	}
 	if best < 0 {
-		return "", "none of " + strings.Join(note.Holders, ", ") + " has answered"
+		return "", "none of " + strings.Join(note.Holders, ", ") + " has answered with a copy"
 	}
 	return found[best].Holder, ""
 }
--- a/peers/copies/copies_test.go
+++ b/peers/copies/copies_test.go
@@ -331,6 +331,8 @@
 		{[]Found{{"b", at(9, 2)}, {"a", at(5, 1)}}, "b", ""},
 		{[]Found{{"c", at(50, 1)}, {"a", at(5, 1)}}, "a", ""},
 		{[]Found{{"c", at(50, 1)}}, "", "none of a, b"},
+		{[]Found{{"a", Shelf{}}}, "", "none of a, b"}, // its folder was lost
+		{[]Found{{"a", Shelf{}}, {"b", at(5, 1)}}, "b", ""},
 		{[]Found{{"a", at(5, 1)}, {"b", at(5, 2)}}, "", "b and a have different records"},
 	} {
 		if from, why := Heir(note, c.found); from != c.from || !strings.HasPrefix(why, c.why) {
@@ -458,6 +460,23 @@
 	}
 }
 
+// Guards against an heir that takes records which were never held, and lie on a node that is not noted, for a sign that its own journal is old.
+func TestWhatWasNeverHeldIsNotMoreThanAnHeirHas(t *testing.T) {
+	read := Chain{Mark: 50}
+	for _, epoch := range []uint64{3, 4, mostEpoch} {
+		leftover := Shelf{At: Chain{Mark: read.Mark + 70}, Epoch: epoch - 1}
+		heir := Frame{Epoch: epoch, Before: Begin(read, epoch), Records: record(1), Whole: true}
+		after, v, write := leftover.Take(heir)
+		if v != Kept || !write || heir.Before.Mark <= leftover.At.Mark {
+			t.Errorf("epoch %d: %v behind %+v", epoch, v, leftover.At)
+		}
+		leftover = Shelf{At: Chain{Mark: after.At.Mark + 1<<30}, Epoch: epoch} // of an heir that is gone as well
+		if next := Begin(heir.Before, epoch+1); next.Mark <= leftover.At.Mark && epoch < mostEpoch {
+			t.Errorf("after epoch %d: %+v", epoch, next)
+		}
+	}
+}
+
 // Holders are on other machines and in other zones where there are such, and few streams move when a node comes or goes.
 func TestChoose(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -507,7 +526,7 @@
 
 func TestPlantedFaultsAreFound(t *testing.T) {
 	file := "peers/copies/copies.go"
-	planted.Check(t, "../..", "./peers/copies", "^(TestWalks|TestANoteWithoutAnAnswerMayStand|TestShelf|TestOwner|TestHeir|TestHeirIsNoHolder)$", []planted.Fault{
+	planted.Check(t, "../..", "./peers/copies", "^(TestWalks|TestANoteWithoutAnAnswerMayStand|TestShelf|TestOwner|TestHeir|TestHeirIsNoHolder|TestWhatWasNeverHeldIsNotMoreThanAnHeirHas)$", []planted.Fault{
 		{Name: "said before it is held", File: file, Old: "least = min(least, o.acked[name])", New: "least = max(o.acked[name], least)"},
 		{Name: "a past epoch is accepted", File: file, Old: "case f.Epoch < s.Fence || f.Epoch < s.Epoch:", New: "case f.Epoch+9 < s.Fence:"},
 		{Name: "the longest stream is not taken", File: file, Old: "cmp.Compare(f.Shelf.Epoch, found[best].Shelf.Epoch)) > 0:", New: "cmp.Compare(f.Shelf.Epoch, found[best].Shelf.Epoch)) < 0:"},
@@ -517,6 +536,8 @@
 		{Name: "held without the lease", File: file, Old: "	if leased {\n		mark", New: "	if true {\n		mark"},
 		{Name: "alone before it is agreed on", File: file, Old: "	if note.Alone {\n", New: "	if note.Alone || o.asked != nil && o.asked.Alone {\n"},
 		{Name: "held before the epoch is noted", File: file, Old: "	leased = leased && o.IsNoted()\n", New: ""},
+		{Name: "an heir goes on at the place that it has read", File: file, Old: "min(epoch, mostEpoch)*epochPlaces", New: "0"},
+		{Name: "a lost copy is read", File: file, Old: "case f.Shelf.At.Mark == 0:", New: "case false:"},
 		{Name: "an heir counts itself", File: file, Old: "	if !slices.Contains(note.Holders, o.self) {", New: "	if true {"},
 		{Name: "a note whose answer is not heard counts for nothing", File: file, Old: "all := append([]Note{o.note}, o.doubted...)", New: "all := []Note{o.note}"},
 		{Name: "a note that is asked for counts for nothing until it is answered", File: file, Old: "	if o.asked != nil {\n		all", New: "	if false {\n		all"},
--- a/peers/heirs.go
+++ b/peers/heirs.go
@@ -30,6 +30,7 @@
 		}
 		switch {
 		case owned[name]:
+		case now-at > c.cfg.Inherit && now < c.again[name]: // nobody could be read a moment ago
 		case now-at > c.cfg.Inherit:
 			gone = append(gone, name)
 		default:
@@ -100,9 +101,13 @@
 	from, missing := copies.Heir(note, found)
 	if missing != "" {
 		log.Warn("a journal can't be inherited yet", "stream", name, "why", missing)
+		c.mu.Lock()
+		c.again[name] = c.s.now() + c.cfg.Inherit
+		c.mu.Unlock()
+		c.work.Go(func() { c.s.leases.rest(ctx, name) }) // its owner may come back, and go on with its own folder
 		return
 	}
-	at := found[slices.IndexFunc(found, func(f copies.Found) bool { return f.Holder == from })].Shelf.At
+	at := copies.Begin(found[slices.IndexFunc(found, func(f copies.Found) bool { return f.Holder == from })].Shelf.At, token)
 	dir := filepath.Join(c.state, inheritedDir, hex.EncodeToString([]byte(name)))
 	if err := errors.Join(os.RemoveAll(dir), delivery.Restore(dir, delivery.Chain{Mark: at.Mark, Digest: at.Digest}, records[from])); err != nil {
 		log.Error("a journal can't be inherited", "stream", name, "err", err)
@@ -130,35 +135,48 @@
 	}
 }
 
-// empty ends streams that were inherited and owe nothing more.
+// empty ends streams that were inherited and owe nothing more. It is called by one goroutine at a time.
 func (c *Copies) empty(ctx context.Context) {
 	dirs, err := c.engine.Done(ctx)
 	if err != nil {
 		return // the engine ends
 	}
+	c.mu.Lock()
 	for _, dir := range dirs {
-		c.mu.Lock()
-		st := c.streams[dir]
-		c.mu.Unlock()
-		if st == nil {
-			continue
+		if st := c.streams[dir]; st != nil {
+			st.closed = true
 		}
-		c.mu.Lock()
-		note, epoch := st.owner.End(), st.epoch
-		st.closed = true
-		c.mu.Unlock()
-		if _, err := c.askNote(ctx, st.name, epoch, note); err != nil {
-			c.s.o.Log.Warn("the end of an inherited journal is not noted: others may look at it again", "stream", st.name, "err", err)
-		}
-		c.mu.Lock()
-		c.drop(st)
-		c.mu.Unlock()
-		c.s.leases.rest(ctx, st.name)
-		if err := errors.Join(os.RemoveAll(dir), c.store.Drop(st.name)); err != nil {
-			c.s.o.Log.Error("an inherited journal can't be removed", "stream", st.name, "err", err)
+	}
+	var closed []*stream
+	for dir, st := range c.streams {
+		if st.closed && dir != c.state {
+			closed = append(closed, st)
 		}
-		c.s.o.Log.Info("an inherited journal owes nothing more", "stream", st.name)
 	}
+	c.mu.Unlock()
+	for _, st := range closed {
+		c.end(ctx, st)
+	}
+}
+
+// end has the voters note that an inherited stream owes nothing more, and then drops it. Until they have, the copies have to stay: another heir would
+// read them. It is tried again.
+func (c *Copies) end(ctx context.Context, st *stream) {
+	c.mu.Lock()
+	note, epoch := st.owner.End(), st.epoch
+	c.mu.Unlock()
+	if r, err := c.askNote(ctx, st.name, epoch, note); err != nil || !r.Done {
+		c.s.o.Log.Info("the end of an inherited journal is not noted yet", "stream", st.name, "epoch", epoch, "err", err)
+		return
+	}
+	c.mu.Lock()
+	c.drop(st)
+	c.mu.Unlock()
+	c.s.leases.rest(ctx, st.name)
+	if err := errors.Join(os.RemoveAll(st.dir), c.store.Drop(st.name)); err != nil {
+		c.s.o.Log.Error("an inherited journal can't be removed", "stream", st.name, "err", err)
+	}
+	c.s.o.Log.Info("an inherited journal owes nothing more", "stream", st.name)
 }
 
 // Drain has this node leave for good: it takes on nothing new, ends what it owes, leaves the others so that they choose other holders, and is done once
--- a/peers/leases.go
+++ b/peers/leases.go
@@ -333,10 +333,15 @@
 
 // other is who else holds a name, and when that was asked; empty if nothing was heard.
 func (l *leases) other(name string) (holder string, at time.Duration) {
+	h := l.heardOf(name)
+	return h.Lease.Owner.Name, h.At
+}
+
+// heardOf is what was last heard of a name that another holds.
+func (l *leases) heardOf(name string) lease.Heard {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h := l.heard[name]
-	return h.Lease.Owner.Name, h.At
+	return l.heard[name]
 }
 
 // news is closed when what may tells, or other, may be another.
