Rig of copies: the next machine is lost once what the last one held is copied anew

Cause: with one further holder copies bear the loss of one machine at a time, and the schedule says of itself that each machine's streams are copied anew before the next one goes. It went by time alone, 1.5 s and more, which a busy machine does not keep.

Change: before a machine is lost the rig waits until each stream has an owner, or nobody holds it, and the noted holders have all that it had when the wait began. A node that the schedule kills while it starts is no failure.

--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -311,6 +311,12 @@
 			if f.o.Copies > 0 && cmd.ProcessState.ExitCode() == exitPast {
 				return nil // it is started again already
 			}
+			n.mu.Lock()
+			killed := !n.wanted
+			n.mu.Unlock()
+			if killed {
+				return nil // by the schedule, while it started
+			}
 			return fmt.Errorf("node %d has ended: see %s", n.i, filepath.Join(n.folder, "log"))
 		case <-late:
 			return fmt.Errorf("node %d takes no clients: %w", n.i, err)
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -162,6 +162,13 @@
 			}
 		}
 		s := steps[e.step]
+		if !e.ends && f.o.Copies > 0 && s.loses() && !anyLoses(steps, active, e.step) {
+			waited, err := f.Repaired(ctx)
+			if err != nil {
+				return err
+			}
+			begun = begun.Add(waited) // what follows keeps its distance
+		}
 		f.illness(steps, active, s.Kind == Sever && !e.ends)
 		if err := f.toProcess(ctx, s, e.ends, steps, active); err != nil {
 			return err
@@ -178,6 +185,19 @@
 	return errors.Join(errs...)
 }
 
+// loses tells whether a step has a machine lose what it holds, or cuts it off before it does.
+func (s Step) loses() bool { return s.Kind == Mute || s.Kind == LoseAll || s.Kind == PutBack }
+
+// anyLoses tells whether a step but one that lasts has a machine lose what it holds.
+func anyLoses(steps []Step, active map[int]bool, but int) bool {
+	for i, s := range steps {
+		if i != but && active[i] && s.loses() {
+			return true
+		}
+	}
+	return false
+}
+
 // illness sets every way to what the steps that last do to it together.
 func (f *Fleet) illness(steps []Step, active map[int]bool, sever bool) {
 	ills := map[[2]int]Ill{}
