A call has nothing of the connection that was tried before

What callers saw: where an endpoint closes or says something before a call is written, the call went to another connection, was answered there, and could end by the first one's end, as one that may have run: a delivered message that is sent again, or reported.

Cause: pool.call made a new channel of ends in the same call for the next connection, while the reader of the one before could still send to it. Beside it, caller and reader both wrote the outcome of a request that could not be written whole.

Mend: a call is a request on one connection, the next try is another call. A request that was written in part is taken back under the connection's lock. A test that made a call by hand begins it now, as the pool does; its checks are as they were.

--- a/internal/node/batches.go
+++ b/internal/node/batches.go
@@ -80,12 +80,13 @@
 	if err != nil {
 		return resultsOf(notSent(choice.Stale, err), all)
 	}
-	x := &call{request: request, all: all}
+	x := newCall(request)
+	x.all = all
 	if all[0].Settle == nil {
 		return resultsOf(p.wait(ctx, last, x), all)
 	}
-	p.call(ctx, last, x)
-	return resultsOf(x.answer, all)
+	a, _ := p.call(ctx, last, x)
+	return resultsOf(a, all)
 }
 
 // resultsOf is what became of each message of a call.
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -162,7 +162,8 @@
 			far.Close()
 		}()
 		k := &conn{Conn: near}
-		x := &call{request: []byte(strings.Repeat("x", 100))}
+		x := newCall([]byte(strings.Repeat("x", 100)))
+		k.begin(x, 0)
 		if end := k.exchange(t.Context(), x, delivery.Attempt{}); x.answer.result.Outcome != choice.NoRoute || end.reuse {
 			t.Errorf("got %+v, %+v", x.answer, end)
 		}
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -39,13 +39,14 @@
 	heard     time.Time // when the last response came; zero for none yet
 }
 
-// call is a request and what becomes of it.
+// call is a request on one connection, and what becomes of it. The connection's reader writes answer and said until it has sent an end; then they are
+// the caller's, but for an undecided call, which stays the reader's until it is settled.
 type call struct {
 	message  string // of the call, or the first of them
 	endpoint *delivery.Endpoint
 	once     bool // it must not run twice
 	request  []byte
-	end      chan callEnd     // takes one without blocking
+	end      chan callEnd     // takes the one end that there is, without blocking
 	answer   answer           // that came; for an undecided call the one that counts if nothing follows
 	said     pairing.Response // likewise
 
@@ -58,6 +59,17 @@
 	sentAt  time.Time
 }
 
+// newCall is a call that has no connection yet.
+func newCall(request []byte) *call { return &call{request: request, end: make(chan callEnd, 1)} }
+
+// onAnother is the same request for another connection: the reader of the one before has nothing of it.
+func (x *call) onAnother() *call {
+	next := newCall(x.request)
+	next.message, next.endpoint, next.once = x.message, x.endpoint, x.once
+	next.all, next.settle, next.done = x.all, x.settle, x.done
+	return next
+}
+
 // answer is what a call came to.
 type answer struct {
 	result delivery.Result
@@ -114,6 +126,7 @@
 	errAmbiguous = errors.New("answer: it can't be told which of several responses it is")
 	errUnproven  = errors.New("answer: it may be a copy of the one before, and silence proves nothing")
 	errEarly     = errors.New("the endpoint said something before the request was sent")
+	errAbandoned = errors.New("the request could not be written whole")
 )
 
 func newConn(nc net.Conn, endpoint, addr string) *conn {
@@ -176,6 +189,18 @@
 	return !k.gone && k.previous == nil && k.tracker.Reusable()
 }
 
+// abandon takes a call back of which a part was written, and has the connection end. It tells whether the reader had no end of it.
+func (k *conn) abandon(x *call) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.gone = true
+	if k.call != x {
+		return false
+	}
+	k.call = nil
+	return true
+}
+
 // sends notes that the first byte of a call goes out, unless bytes have come before: those can't be its response.
 func (k *conn) sends(x *call) bool {
 	k.mu.Lock()
@@ -197,6 +222,11 @@
 	n, err := k.Write(x.request)
 	c.Times.Wrote()
 	if err != nil && n < len(x.request) {
+		if !k.abandon(x) {
+			if end := <-x.end; end.undecided {
+				return end
+			}
+		}
 		x.answer = notSent(choice.NoRoute, err) // without its last byte the endpoint has not begun it
 		return callEnd{}
 	}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -78,11 +78,11 @@
 	if err != nil {
 		return delivery.Result{Outcome: choice.Stale, NotRun: true, Err: err}
 	}
-	x := &call{request: request}
+	x := newCall(request)
 	if c.Settle != nil {
 		x.settle = c.Settle
-		p.call(ctx, c, x)
-		return x.answer.result
+		a, _ := p.call(ctx, c, x)
+		return a.result
 	}
 	return p.wait(ctx, c, x).result
 }
@@ -93,8 +93,7 @@
 	defer cancel()
 	final := make(chan *answer, 1)
 	x.done = func(a *answer) { final <- a }
-	k := p.call(ctx, c, x)
-	a := x.answer
+	a, k := p.call(ctx, c, x)
 	if !a.result.Undecided {
 		return a
 	}
@@ -111,23 +110,19 @@
 	return answer{result: delivery.Result{Outcome: outcome, NotRun: true, Err: err}}
 }
 
-// call makes the call of an attempt, on a kept connection or a new one, and leaves what came of it in x.answer. It returns the
-// connection of a call that is undecided.
-func (p *pool) call(ctx context.Context, c delivery.Attempt, x *call) *conn {
+// call makes the call of an attempt, on a kept connection or a new one, and returns what came of it, with the connection of a call that is
+// undecided.
+func (p *pool) call(ctx context.Context, c delivery.Attempt, x *call) (answer, *conn) {
 	x.message, x.endpoint, x.once = c.ID, c.Endpoint, c.Once
 	if now := time.Now(); !c.MayBegin(now) || ctx.Err() != nil || !now.Before(c.NotPast) {
-		x.answer = notSent(choice.Stale, nil)
-		return nil
+		return notSent(choice.Stale, nil), nil
 	}
-	for {
-		x.end = make(chan callEnd, 1)
+	for ; ; x = x.onAnother() {
 		k, kept, err := p.connection(ctx, c, x)
 		if errors.Is(err, errNoLocal) {
-			x.answer = notSent(choice.Stale, err)
-			return nil
+			return notSent(choice.Stale, err), nil
 		} else if err != nil {
-			x.answer = notSent(choice.NoRoute, err)
-			return nil
+			return notSent(choice.NoRoute, err), nil
 		}
 		// A dial takes up to a second; a wait told, a drain heard of or a repeat's time that is over meanwhile forbids the
 		// first byte.
@@ -137,25 +132,23 @@
 			} else {
 				k.Close()
 			}
-			x.answer = notSent(choice.Stale, nil)
-			return nil
+			return notSent(choice.Stale, nil), nil
 		}
 		giveUp := func() { k.Close() }
 		stop, late := context.AfterFunc(ctx, giveUp), time.AfterFunc(time.Until(c.NotPast), giveUp)
 		end := k.exchange(ctx, x, c)
 		inTime, stopped := late.Stop(), stop()
-		switch {
-		case errors.Is(end.err, errEarly):
+		if errors.Is(end.err, errEarly) {
 			k.Close()
 			c.Fresh = true
 			continue
-		case end.undecided:
-			x.answer.result.Undecided = true
-		default:
+		}
+		if !end.undecided {
 			p.release(x, k, end.reuse && inTime && stopped)
 		}
-		x.answer.result.Kept = kept
-		return k
+		a := x.answer
+		a.result.Kept, a.result.Undecided = kept, end.undecided
+		return a, k
 	}
 }
 
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -103,6 +103,11 @@
 	p.heard(k.endpoint, r.pairing)
 	k.mu.Lock()
 	x, u, previous := k.call, k.undecided, k.previous
+	if x == nil && u == nil {
+		k.mu.Unlock()
+		p.broken(k, errAbandoned)
+		return false
+	}
 	k.previous, k.heard = nil, time.Now()
 	verdict := k.tracker.Response(r.pairing)
 	more := k.br.Buffered() > 0
