Stand-ins: a partner that is down keeps its address

Once a payout's partner had an effect under the key of another scenario's order; once a message to a partner that is down ended as failed, where connections are refused.

Cause: a partner that refuses connections closed its listener, so that its port was free, and another scenario's partner was given it. All scenarios name their message m: one scenario's node called the other one's partner. The stand-in for gRPC already waited up to 10 s to get its port back.

Change: a stand-in holds a bound socket for as long as it lives. No wait for the port is left.

--- a/internal/standin/grpcpartner/grpcpartner.go
+++ b/internal/standin/grpcpartner/grpcpartner.go
@@ -4,13 +4,10 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"maps"
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	orca "github.com/cncf/xds/go/xds/data/orca/v3"
@@ -27,15 +24,13 @@
 	"starlingusher/internal/standin"
 )
 
-const listenTime = 10 * time.Second // to get an address back
-
 // Partner answers unary calls of any method. What it replies is Step.Reply, an encoded message.
 type Partner struct {
 	*standin.Ledger
 	options []grpc.ServerOption
+	port    *standin.Port
 
 	mu      sync.Mutex
-	addr    string
 	script  standin.Script
 	srv     *grpc.Server // nil while it refuses
 	open    map[string]*tracked
@@ -47,16 +42,16 @@
 	if ledger == nil {
 		ledger = standin.NewLedger()
 	}
-	p := &Partner{Ledger: ledger, options: options, addr: "127.0.0.1:0", script: script, open: map[string]*tracked{}}
+	port, err := standin.ReservePort()
+	if err != nil {
+		return nil, err
+	}
+	p := &Partner{Ledger: ledger, options: options, port: port, script: script, open: map[string]*tracked{}}
 	return p, p.Accept()
 }
 
 // Addr is where it is called; it stays the same while it refuses.
-func (p *Partner) Addr() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.addr
-}
+func (p *Partner) Addr() string { return p.port.Addr() }
 
 // Do changes the script for the calls that come from now on.
 func (p *Partner) Do(s standin.Script) {
@@ -72,14 +67,10 @@
 	if p.srv != nil {
 		return nil
 	}
-	ln, err := net.Listen("tcp", p.addr)
-	for end := time.Now().Add(listenTime); errors.Is(err, syscall.EADDRINUSE) && time.Now().Before(end); ln, err = net.Listen("tcp", p.addr) {
-		time.Sleep(time.Millisecond) // a connection of somebody else's has the port for a moment
-	}
+	ln, err := p.port.Listen()
 	if err != nil {
-		return fmt.Errorf("stand-in: %w", err)
+		return err
 	}
-	p.addr = ln.Addr().String()
 	srv := grpc.NewServer(append([]grpc.ServerOption{
 		grpc.ForceServerCodecV2(grpcframe.Codec{}), grpc.UnknownServiceHandler(p.serve)}, p.options...)...)
 	p.srv = srv
@@ -118,6 +109,7 @@
 func (p *Partner) Close() {
 	p.Refuse()
 	p.serving.Wait()
+	p.port.Close() // an error says that it is closed
 }
 
 func (p *Partner) serve(_ any, stream grpc.ServerStream) error {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -21,8 +21,9 @@
 	serve func(net.Conn, *http.Request) bool
 	reply func(Call) (header string, body []byte) // of a good answer; nil for the step's own
 
+	port *Port
+
 	mu     sync.Mutex
-	addr   string
 	ln     net.Listener // nil while it refuses
 	open   map[net.Conn]bool
 	script Script
@@ -49,16 +50,16 @@
 	if ledger == nil {
 		ledger = NewLedger()
 	}
-	p := &HTTP{Ledger: ledger, serve: serve, reply: reply, open: map[net.Conn]bool{}, script: script, closed: make(chan struct{}), addr: "127.0.0.1:0"}
+	port, err := ReservePort()
+	if err != nil {
+		return nil, err
+	}
+	p := &HTTP{Ledger: ledger, serve: serve, reply: reply, open: map[net.Conn]bool{}, script: script, closed: make(chan struct{}), port: port}
 	return p, p.Accept()
 }
 
 // Addr is where it is called; it stays the same while it refuses.
-func (p *HTTP) Addr() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.addr
-}
+func (p *HTTP) Addr() string { return p.port.Addr() }
 
 // Do changes the script for the calls that come from now on.
 func (p *HTTP) Do(s Script) {
@@ -88,11 +89,11 @@
 	if p.ln != nil {
 		return nil
 	}
-	ln, err := net.Listen("tcp", p.addr)
+	ln, err := p.port.Listen()
 	if err != nil {
-		return fmt.Errorf("stand-in: %w", err)
+		return err
 	}
-	p.ln, p.addr = ln, ln.Addr().String()
+	p.ln = ln
 	p.done.Go(func() { p.accept(ln) })
 	return nil
 }
@@ -129,6 +130,7 @@
 	close(p.closed)
 	p.Refuse()
 	p.done.Wait()
+	p.port.Close() // an error says that it is closed
 }
 
 // reset closes a connection so that the other side sees a reset.
