A drain is asked for again where the voters of leases do not answer once

Cause: the node reads the notes of what it holds from the voters at each question. On a busy machine one answer does not come within a term, and the command took that for its end, though it has two minutes to wait.

Mend: an answer that is not to be had now is told once and asked for again until the time is over; other errors end the command as before.

--- a/cmd/coralyard/copies.go
+++ b/cmd/coralyard/copies.go
@@ -12,7 +12,11 @@
 	"text/tabwriter"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
 	"starlingusher/peers"
+	"starlingusher/peers/link"
 )
 
 type copiesCommand struct {
@@ -41,24 +45,33 @@
 	defer o.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), c.Within)
 	defer cancel()
+	return waitDrained(ctx, drainPoll, o.Drain, func(line string) { fmt.Println(line) })
+}
+
+// waitDrained asks until the node is done, and says how far it is whenever that changes. A node that can't tell for a moment, since the voters of leases
+// do not answer, is asked again.
+func waitDrained(ctx context.Context, poll time.Duration, ask func(context.Context) (link.Drained, error), say func(line string)) error {
 	last := ""
 	for {
-		d, err := o.Drain(ctx)
-		if err != nil {
+		d, err := ask(ctx)
+		line := fmt.Sprintf("%d messages open; held for %d others: %s", d.Open, len(d.Holds), strings.Join(d.Holds, ", "))
+		switch {
+		case status.Code(err) == codes.Unavailable:
+			line = "it can't be told how far the node is: " + err.Error()
+		case err != nil && ctx.Err() == nil:
 			return err
-		}
-		if d.Done {
-			fmt.Println("done: nothing is owed, and nobody counts on what this node holds; it may be switched off")
+		case d.Done:
+			say("done: nothing is owed, and nobody counts on what this node holds; it may be switched off")
 			return nil
 		}
-		if line := fmt.Sprintf("%d messages open; held for %d others: %s", d.Open, len(d.Holds), strings.Join(d.Holds, ", ")); line != last {
-			fmt.Println(line)
+		if line != last && ctx.Err() == nil {
+			say(line)
 			last = line
 		}
 		select {
-		case <-time.After(drainPoll):
+		case <-time.After(poll):
 		case <-ctx.Done():
-			return fmt.Errorf("not done within %v: %s", c.Within, last)
+			return fmt.Errorf("not done in time: %s: %w", last, ctx.Err())
 		}
 	}
 }
