Stand-ins take a loopback address that no rig reserves for nodes

The rigs of the soak, of nodes that talk and of kills reserve ports for nodes on 127.x.y.1 to 250 and give them back until the node listens, so that two processes could have the same address, against what the comment says.

Change: the address ends on 251. Found by reading the change again; no failure is shown to come of it.

--- a/internal/standin/port.go
+++ b/internal/standin/port.go
@@ -20,11 +20,11 @@
 }
 
 // loopback is an address of this process's own, by its number: what it listened on is given to no other process, so that callers which are about to end
-// meet nobody else's stand-ins.
+// meet nobody else's stand-ins. Rigs that reserve addresses for nodes take those that end on 1 to 250.
 func loopback() [4]byte {
-	const nets, hosts = 128, 250
+	const nets, hosts, standIns = 128, 250, 251
 	pid := os.Getpid()
-	return [4]byte{127, byte(64 + pid%nets), byte(pid / nets % hosts), 1}
+	return [4]byte{127, byte(64 + pid%nets), byte(pid / nets % hosts), standIns}
 }
 
 // listen takes connections at an address that is free.
