Tests of the program reserve ports on an address of their process in one place

Cause: this test and TestSIGHUP found a free port of 127.0.0.1 and gave it back until the node listens. Meanwhile another process may have it, for a listener or a connection that goes out. The sites of the kill tests take an address of their own process for that reason.

Change: that piece is a function now, reserve, and all three call it. No check is changed.

--- a/cmd/coralyard/as2_test.go
+++ b/cmd/coralyard/as2_test.go
@@ -49,12 +49,7 @@
 	if s.keys, err = as2bank.NewKeys(true, "us", "bank", "other"); err != nil {
 		t.Fatal(err)
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.front = ln.Addr().String()
-	ln.Close()
+	s.front = reserve(t)
 	der, err := x509.MarshalPKCS8PrivateKey(s.keys[0].Key)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/coralyard/kill_test.go
+++ b/cmd/coralyard/kill_test.go
@@ -81,13 +81,7 @@
 			ID: fmt.Sprint("branch-", i), Addr: b.Addr(), Zone: "a", Kind: "plain", Dest: i, Phase: "SERVING", Size: 1000,
 		})
 	}
-	// On an address of this process's own, no other takes the port while no node runs.
-	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, os.Getpid()/128%250, 1+sites.Add(1)%250))
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.addr = ln.Addr().String()
-	ln.Close()
+	s.addr = reserve(t)
 	text, err := standin.NodeConfig(s.addr, s.discovery.Addr(), standin.Limits{Cores: 2, MemoryMB: 256, Sockets: 1000, DiskMB: 16},
 		bankSettings, members)
 	if err != nil {
@@ -437,3 +431,14 @@
 		t.Errorf("the log says nothing of it:\n%s", node.log.String())
 	}
 }
+
+// reserve finds a port that nobody uses, on an address of this process's own: no other takes it while no node runs.
+func reserve(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%128, os.Getpid()/128%250, 1+sites.Add(1)%250))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
--- a/cmd/coralyard/main_test.go
+++ b/cmd/coralyard/main_test.go
@@ -113,12 +113,7 @@
 // be used changes nothing, and the program goes on through all of it to the end of SIGTERM's leave.
 func TestSIGHUP(t *testing.T) {
 	first, second := newRegistry(t, 0), newRegistry(t, http.StatusNoContent) // the first never answers a notice
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	listen := ln.Addr().String()
-	ln.Close()
+	listen := reserve(t)
 	config := filepath.Join(t.TempDir(), "config.json")
 	writeConfig(t, config, listen, first.addr())
 	cmd := exec.Command(os.Args[0])
