--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -227,7 +227,8 @@
 	version int
 	changed chan struct{}
 	notices []Notice
-	watches int // that are open
+	indent  bool // lists come on several lines
+	crowded bool // calls for the list are turned away
 }
 
 // Agent starts one that lists members.
@@ -245,6 +246,22 @@
 	return a
 }
 
+// Crowd ends all watches, and has calls for the list turned away, until it is called with false.
+func (a *Agent) Crowd(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.crowded = on
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Indent has lists come indented.
+func (a *Agent) Indent(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.indent = on
+}
+
 // List changes the list: it is told as a whole.
 func (a *Agent) List(members []Member) {
 	a.mu.Lock()
@@ -258,14 +275,23 @@
 
 func (a *Agent) list(w http.ResponseWriter, r *http.Request) {
 	watch := r.URL.Query().Get("watch") != ""
-	if watch {
-		a.count(1)
-		defer a.count(-1)
-	}
+	first := true
 	for {
 		a.mu.Lock()
-		line, changed := a.line, a.changed
+		line, changed, crowded := a.line, a.changed, a.crowded
+		if a.indent {
+			var b bytes.Buffer
+			json.Indent(&b, []byte(line), "", "  ")
+			line = b.String()
+		}
 		a.mu.Unlock()
+		if crowded {
+			if first {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			return
+		}
+		first = false
 		fmt.Fprintln(w, line)
 		w.(http.Flusher).Flush()
 		if !watch {
@@ -286,12 +312,6 @@
 	}
 }
 
-func (a *Agent) count(by int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.watches += by
-}
-
 func (a *Agent) report(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, 64<<10))
 	if err != nil {
