A watch's lists are read as JSON objects, whatever lines they stand on

What callers saw: where discovery's lists come indented, a node never read one from its watch.

Cause: watcher.follow took each line of a watch for an object. The log had "unexpected end of JSON input" for each watch; the same objects on one line each were read.

Change: internal/node/jsonstream finds objects by JSON's grammar, in any pieces, and the empty lines between them. An object has 4 MiB and 2 minutes; a watch whose object never ends is given up, and others are opened beside it after 2.5 s as before. Objects that told something new give the watch its budget of idle lines anew. The soak's discovery writes indented lists and lists in pieces.

The 2 minutes and 4 MiB (the bound of a line before) were chosen, not measured.

--- a/internal/faults/soak/agent.go
+++ b/internal/faults/soak/agent.go
@@ -38,6 +38,7 @@
 	cut      chan struct{} // closed when watches break
 	relieved time.Time     // when it was crowded last
 	turns    int           // of watches that came while it was crowded
+	watches  int           // that were answered
 	news     chan struct{} // closed when changes grow or it goes down or up
 	notices  []standin.Notice
 	closed   chan struct{}
@@ -181,7 +182,8 @@
 		return
 	}
 	a.mu.Lock()
-	cut := a.cut
+	cut, form := a.cut, listForm(a.watches)%listForms
+	a.watches++
 	a.mu.Unlock()
 	beat := time.NewTicker(heartbeat)
 	defer beat.Stop()
@@ -197,11 +199,11 @@
 		}
 		a.mu.Unlock()
 		if !down && (first || len(members) > 0) {
-			fmt.Fprintf(w, `{"revision":%d,"complete":false,"members":[%s]}`+"\n", revision, strings.Join(members, ","))
-			after, first = revision, false
-			if out.Flush() != nil {
+			text := fmt.Sprintf(`{"revision":%d,"complete":false,"members":[%s]}`, revision, strings.Join(members, ","))
+			if form.write(w, out, text) != nil {
 				return
 			}
+			after, first = revision, false
 		}
 		select {
 		case <-news:
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -27,7 +27,7 @@
 	Complete bool     `json:"complete"`
 	Members  []member `json:"members"`
 
-	line  []byte // as it came, until the next one comes
+	line  []byte // the JSON object as it came, until the next one comes
 	after int64  // the revision that it follows on
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -1,13 +1,10 @@
 package node
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -16,10 +13,11 @@
 	"time"
 
 	"starlingusher/fleet"
+	"starlingusher/internal/node/jsonstream"
 )
 
 const (
-	maxListLine = 4 << 20
+	maxListBytes = 4 << 20 // of one object of a watch
 	// An empty line comes every 2 s. A watch without one has died, though its connection may not show it, and what
 	// changes counts as told to the node 4 s later all the same. A new watch is answered at once.
 	watchSilence = 2500 * time.Millisecond
@@ -27,6 +25,9 @@
 	// grace of 250 ms. One that breaks sooner is no better than one that is not answered.
 	watchStood     = time.Second
 	longestRewatch = 100 * time.Millisecond
+	// longestObject is how long an object of a watch may take from its first byte to its last. Others are opened beside a watch that is
+	// silent meanwhile, so that the bound is for memory and connections alone, and a list on a slow way comes through.
+	longestObject = 2 * time.Minute
 	// mostWatches stand at a time: the oldest, which is the next one to be answered if discovery is slow, and the latest ones.
 	mostWatches = 3
 )
@@ -42,6 +43,8 @@
 	errSilent = fmt.Errorf("watch: no line for %v", watchSilence)
 	// errIdleLines says that a watch has lines without end.
 	errIdleLines = fmt.Errorf("watch: over %d lines in %v that tell nothing", mostIdleLines, idleLinesSpan)
+	// errUnfinished says that an object of a watch has not come whole in its time.
+	errUnfinished = fmt.Errorf("watch: an object is not whole after %v", longestObject)
 )
 
 // watcher follows discovery by one watch after another. A watch that is silent stays open until a later one has heard something: if
@@ -210,7 +213,7 @@
 	w.standing = slices.Delete(w.standing, 0, max(i, 0))
 }
 
-// came notes that a line came.
+// came notes that an empty line or an object came.
 func (w *watcher) came(o *openWatch) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -233,51 +236,104 @@
 
 // follow reads one watch to its end.
 func (w *watcher) follow(ctx context.Context, o *openWatch) error {
-	after, told := w.revision(), false
-	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", w.addr, after)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := w.client.Do(req)
+	after := w.revision()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	resp, err := w.ask(ctx, after)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("watch: %s", resp.Status)
-	}
-	lines := bufio.NewScanner(resp.Body)
-	lines.Buffer(make([]byte, 0, 16<<10), maxListLine)
-	var idle lineBudget
-	for lines.Scan() {
-		w.came(o)
-		line := bytes.TrimSpace(lines.Bytes())
-		if len(line) == 0 {
-			if !idle.spend(time.Now()) {
-				return errIdleLines
-			}
-			continue
-		}
-		l := list{line: line, after: after}
-		if err := json.Unmarshal(line, &l); err != nil {
-			return fmt.Errorf("watch: %w", err)
-		}
-		if told && l.Revision < after {
-			w.log.Warn("a line of the watch came again", "discovery", w.addr, "revision", l.Revision, "after", after)
-		}
-		if told && l.Revision <= after && !idle.spend(time.Now()) {
-			return errIdleLines
+	unfinished := time.AfterFunc(longestObject, func() { cancel(errUnfinished) })
+	unfinished.Stop()
+	defer unfinished.Stop()
+	objects := jsonstream.NewReader(resp.Body, maxListBytes)
+	reading := listsOfWatch{watcher: w, watch: o, after: after}
+	for {
+		event, err := objects.Next()
+		if err != nil {
+			return w.broken(ctx, err)
 		}
-		if told && l.Revision < after {
+		if event == jsonstream.Begun {
+			unfinished.Reset(longestObject)
 			continue
 		}
-		after, told = l.Revision, true
-		if err := w.take(o, l); err != nil {
+		unfinished.Stop()
+		w.came(o)
+		if event == jsonstream.EmptyLine {
+			err = reading.emptyLine()
+		} else {
+			err = reading.object(objects.Bytes())
+		}
+		if err != nil {
 			return err
 		}
 	}
-	return errors.Join(lines.Err(), io.EOF)
+}
+
+// ask requests a watch of what changed after a revision.
+func (w *watcher) ask(ctx context.Context, after int64) (*http.Response, error) {
+	url := fmt.Sprintf("http://%s/registry/instances?watch=1&after=%d", w.addr, after)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		resp.Body.Close()
+		return nil, fmt.Errorf("watch: %s", resp.Status)
+	}
+	return resp, nil
+}
+
+// broken is why a watch can't be read any further.
+func (w *watcher) broken(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, errUnfinished) {
+		return cause
+	}
+	return fmt.Errorf("watch: %w", err)
+}
+
+// listsOfWatch takes what one watch tells, in order.
+type listsOfWatch struct {
+	*watcher
+	watch *openWatch
+	after int64 // the revision that was told last, or asked for
+	told  bool
+	idle  lineBudget
+}
+
+// emptyLine takes a line that tells nothing.
+func (r *listsOfWatch) emptyLine() error {
+	if !r.idle.spend(time.Now()) {
+		return errIdleLines
+	}
+	return nil
+}
+
+// object takes an object, and hands on the list in it unless that is older than what the watch has told.
+func (r *listsOfWatch) object(text []byte) error {
+	l := list{line: text, after: r.after}
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	older, same := r.told && l.Revision < r.after, r.told && l.Revision == r.after
+	if older {
+		r.log.Warn("a line of the watch came again", "discovery", r.addr, "revision", l.Revision, "after", r.after)
+	}
+	if !older && !same {
+		r.idle = lineBudget{}
+	} else if !r.idle.spend(time.Now()) {
+		return errIdleLines
+	}
+	if older {
+		return nil
+	}
+	r.after, r.told = l.Revision, true
+	return r.take(r.watch, l)
 }
 
 // lineBudget counts the lines of a watch that tell nothing new. The zero value has counted none.
