Discovery is asked again within 5.7 s of each call that failed, in fleets of any size

Cause: fleet.Asking doubled its span up to 40 s, with no regard to the 6 s or to how long the failed call had taken.

Change: the next call begins within 5.7 s of the begin of the one that failed. Large fleets draw their first repeat alone and then keep its phase, so that 2.2 s of each 5.7 s have no calls. Drawn anew each time, nobody was told in the model of a source that is behind (lab/model, Herd).

TestAskingBounds allowed 40 s, which the platform's 6 s forbid; it wants 5.7 s now, and counts the time that a call took. TestSendersThatFailTogetherComeBackApart looked at one pause; since later ones keep their phase it looks at the times of the calls over up to six failures, together or apart, with the same bound over the narrower span of 3.5 s.

--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -188,7 +188,11 @@
 	if o.heard && err != errSilent && !errors.Is(err, errBehind) && !errors.Is(err, errIdleLines) && time.Since(o.began) >= watchStood {
 		return rand.N(longestRewatch)
 	}
-	return asking.Failed(nodes, rand.Float64())
+	heard := o.began
+	if o.line.After(heard) {
+		heard = o.line
+	}
+	return asking.Failed(nodes, time.Since(heard), rand.Float64())
 }
 
 // open begins a watch.
--- a/lab/model/asking.go
+++ b/lab/model/asking.go
@@ -30,7 +30,7 @@
 
 // Herd has n senders start at one instant, and tells when the last of them was told, and how many calls the one made that
 // made most; 0 if not all were told within two minutes.
-func Herd(n int, o Source, failed func(a *fleet.Asking) time.Duration) (last time.Duration, most int) {
+func Herd(n int, o Source, failed func(a *fleet.Asking, took time.Duration) time.Duration) (last time.Duration, most int) {
 	asking, calls := make([]fleet.Asking, n), make([]int, n)
 	var todo queue[happening]
 	for i := range n {
@@ -49,7 +49,7 @@
 			last = max(last, end)
 			continue
 		}
-		todo.push(happening{at: end + failed(&asking[h.who]), who: h.who})
+		todo.push(happening{at: end + failed(&asking[h.who], end-h.at), who: h.who})
 	}
 	return last, most
 }
--- a/lab/model/asking_test.go
+++ b/lab/model/asking_test.go
@@ -15,13 +15,13 @@
 		rng := rand.New(rand.NewPCG(seed, 7))
 		source := Source{Each: 100 * time.Millisecond, Patience: 2 * time.Second, Backlog: 4 * time.Second}
 		last, most := Herd(70, source,
-			func(a *fleet.Asking) time.Duration { return a.Failed(80, rng.Float64()) })
+			func(a *fleet.Asking, took time.Duration) time.Duration { return a.Failed(80, took, rng.Float64()) })
 		if last == 0 || last > 30*time.Second || most > 6 {
 			t.Errorf("seed %d: all are told after %v, with up to %d calls", seed, last, most)
 		}
 		failed := map[*fleet.Asking]int{}
 		alone := fleet.Rest{First: 25 * time.Millisecond, Longest: time.Second}
-		if last, _ := Herd(70, source, func(a *fleet.Asking) time.Duration {
+		if last, _ := Herd(70, source, func(a *fleet.Asking, _ time.Duration) time.Duration {
 			failed[a]++
 			return alone.After(failed[a], rng.Float64())
 		}); last > 0 && last < 60*time.Second {
--- a/lab/model/run.go
+++ b/lab/model/run.go
@@ -331,7 +331,7 @@
 		})
 		r.at(t.At+t.For, func() {
 			for _, n := range r.nodes {
-				r.ask(n, r.failed(n))
+				r.ask(n, r.failed(n, 0))
 			}
 		})
 	}
@@ -391,43 +391,6 @@
 	}
 }
 
-// ask has a node call discovery in a while.
-func (r *run) ask(n *node, pause time.Duration) {
-	r.later(n, r.now+pause, func() {
-		if n.watching {
-			return
-		}
-		end, ok := r.now, r.source.Each == 0
-		if !ok {
-			end, ok = r.source.call(r.now)
-		}
-		for _, t := range r.stale {
-			if t.during(r.now) {
-				end, ok = r.now+r.day.Net.Way, false
-			}
-		}
-		r.later(n, end, func() {
-			if !ok {
-				r.ask(n, r.failed(n))
-				return
-			}
-			n.asking.Told()
-			n.unheard = 0
-			n.watching = true
-			r.catchUp(n, len(r.changes))
-		})
-	})
-}
-
-// failed is the pause after a call that failed.
-func (r *run) failed(n *node) time.Duration {
-	u := uniform(n.asks)
-	if n.unheard++; r.day.List.Alone {
-		return time.Duration(u * float64(min(50*time.Millisecond<<min(n.unheard-1, 10), 2*time.Second)))
-	}
-	return n.asking.Failed(len(r.nodes), u)
-}
-
 // start begins a life of a node: it has the list as it was told last, and what its journal holds.
 func (r *run) start(n *node, owed []*message) {
 	n.began, n.dead, n.leaving, n.out, n.conns, n.calling, n.wakes = r.now, false, false, 0, map[*endpoint]*conns{}, map[string]*call{}, 0
