Ends of messages taken over AS2 are told to the platform and kept as undelivered

Cause: the front of AS2 had no sink, the server acknowledged every end whose receipt it kept, and ends as returned are not kept as undelivered, since clients come again. Nobody does behind a receipt.

Change: a front may say that nothing is handed in again (NoRetry): what would be returned fails. The node gives such a front its own sink; both fronts share one courier of notices. The engine keeps such an end until the sink has taken it and the ledger has the message.

--- a/as2/gateway/gateway.go
+++ b/as2/gateway/gateway.go
@@ -106,12 +106,14 @@
 	return all
 }
 
-// Front is the engine's front of what partners post, if they can: messages go on by the carrier that is given.
+// Front is the engine's front of what partners post, if they can: messages go on by the carrier that is given. A partner has its receipt long
+// before the end of its message and hands it in only once, so that the platform is to be told of what was not delivered: the front has no
+// sink yet.
 func (g *Gateway) Front(onward delivery.Carrier) []delivery.Front {
 	if g.ln == nil {
 		return nil
 	}
-	return []delivery.Front{{Name: frontName, Carrier: onward}}
+	return []delivery.Front{{Name: frontName, Carrier: onward, NoRetry: true}}
 }
 
 // Run serves partners until ctx ends.
--- a/as2/server/server.go
+++ b/as2/server/server.go
@@ -49,7 +49,7 @@
 	Links   []Link
 	Ledger  *ledger.Ledger
 	Engine  Engine
-	Front   string // the engine's, of what comes in; it must be one without a Sink
+	Front   string // the engine's, of what comes in
 	// TakeReceipt takes the receipts of what we have sent. It may be nil.
 	TakeReceipt func(header []as2.Field, body []byte, from as2.Partner) error
 	Limits      as2.Limits
@@ -344,7 +344,8 @@
 	}
 }
 
-// acknowledge has the engine forget the messages whose receipts are kept: from then on a repeat is known by the ledger.
+// acknowledge has the engine forget the messages whose receipts are kept: from then on a repeat is known by the ledger. Those that were not delivered
+// stay until the front's sink has taken their ends.
 func (s *Server) acknowledge(ctx context.Context) error {
 	ends, err := s.o.Engine.Ends(ctx, s.o.Front)
 	if err != nil || len(ends) == 0 {
--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -145,7 +145,7 @@
 			all = append(all, found{err: ErrPending})
 		default:
 			all = append(all, found{end: newEnd(p)})
-			if q.ack {
+			if q.ack && q.front.hasTold(p) {
 				n.forget(p)
 			}
 		}
@@ -183,6 +183,9 @@
 // nobody waits.
 func (n *Engine) finish(p *past, e ending, reply any, wanted bool) {
 	f := n.fronts[p.front]
+	if e.state == Returned && f.NoRetry && !p.again() {
+		e = ending{state: Failed}
+	}
 	waiters := p.waiters
 	p.waiters = nil
 	n.logEnd(p, e)
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -414,9 +414,7 @@
 		n.messages[ref(p.front, p.id)] = p
 		if p.ended != nil {
 			ended++
-			if f := n.fronts[p.front]; f.Sink != nil {
-				f.owe(newEnd(p))
-			}
+			n.fronts[p.front].oweAgain(p)
 			continue
 		}
 		*n.count(p)++
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -271,9 +271,7 @@
 			n.log.Warn("a message of a journal that is inherited has the id of another one here", "journal", i.dir, "front", p.front, "id", p.id)
 		}
 		if p.ended != nil {
-			if f.Sink != nil {
-				f.owe(newEnd(p))
-			}
+			f.oweAgain(p)
 			continue
 		}
 		*n.count(p)++
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -73,6 +73,7 @@
 	deadline time.Time
 	front    string // the way that it came in
 	keep     bool   // its end is owed to whoever asks by its id
+	told     bool   // the front's sink has taken its end, in this process
 	stored   int64  // bytes of its records in a new file
 	mayZone  int32  // of a further life, see mayRun; here, where it takes no room
 	sends    []pastSend
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -84,13 +84,7 @@
 		case stood:
 			events = append(events, n.stands(attempt(e)))
 		case settled:
-			for _, s := range e {
-				n.fronts[s.of.front].unacknowledged.remove(s.of)
-				n.forgetEnded(s.of, s.State)
-			}
-			if n.cfg.Recorder != nil {
-				n.recordNotices(e)
-			}
+			n.acknowledge(e)
 		case choice.Leaving:
 			events = append(events, e)
 		case News:
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -209,10 +209,13 @@
 	Name    string // empty for the front that the journal does not name
 	Carrier Carrier
 	// Sink takes the ends of messages that did not get through. Without one the engine keeps all ends, also of those
-	// that did, until Acknowledge.
+	// that did, until Acknowledge. With one it keeps those of messages with Keep, until the sink has taken what it is told of, and Acknowledge.
 	Sink Sink
 	// NewIDs says that no two messages have one ID: one that comes again, also after it was refused or returned, is a copy on its way.
 	NewIDs bool
+	// NoRetry says that nobody hands a message in again: its client was told that it is processed. One that would end as Returned ends as
+	// Failed instead.
+	NoRetry bool
 	// Leave, if given, is called when the engine is about to stop. It returns when nothing more is handed in.
 	Leave func()
 }
--- a/delivery/sinks.go
+++ b/delivery/sinks.go
@@ -24,6 +24,34 @@
 	f.owed.put(e)
 }
 
+// oweAgain has the end of an earlier life go to the front's sink, if that is told of such.
+func (f *front) oweAgain(p *past) {
+	if f.Sink != nil && p.ended.state != Delivered {
+		f.owe(newEnd(p))
+	}
+}
+
+// hasTold tells whether the front's sink has nothing left to be told of a message that has ended.
+func (f *front) hasTold(p *past) bool {
+	return f.Sink == nil || p.ended.state == Delivered || p.told
+}
+
+// acknowledge notes that sinks have taken ends for good. One that is kept is forgotten once its front has acknowledged it as well.
+func (n *Engine) acknowledge(ends []End) {
+	for _, e := range ends {
+		p := e.of
+		n.fronts[p.front].unacknowledged.remove(p)
+		if p.keep {
+			p.told = true
+		} else {
+			n.forgetEnded(p, e.State)
+		}
+	}
+	if n.cfg.Recorder != nil {
+		n.recordNotices(ends)
+	}
+}
+
 // mailbox holds the ends that a sink has yet to take, oldest first. The loop puts in, the sink's goroutine takes out.
 type mailbox struct {
 	mu   sync.Mutex
--- a/internal/node/agent.go
+++ b/internal/node/agent.go
@@ -223,13 +223,9 @@
 }
 
 // Serve has the courier post ends until ctx ends, at whatever address discovery then has. A notice may be posted twice: one for a message
-// that is over does no harm.
+// that is over does no harm. All fronts of one engine share the courier, and so does what acknowledges their ends.
 func (a *agent) Serve(ctx context.Context, from delivery.Outbox, acknowledged func([]delivery.End)) {
-	courier := notices.New(a.address(), a.noticePlaces, a.connect, a.log, acknowledged)
-	a.mu.Lock()
-	a.courier = courier
-	a.mu.Unlock()
-	courier.Move(a.address()) // it may have moved meanwhile
+	courier, first := a.openCourier(acknowledged)
 	var taking sync.WaitGroup
 	defer taking.Wait()
 	taking.Go(func() {
@@ -237,14 +233,20 @@
 			courier.Post(entriesOf(ends))
 		}
 	})
-	courier.Run(ctx)
+	if first {
+		courier.Run(ctx)
+	}
 }
 
-// address is where discovery is now.
-func (a *agent) address() string {
+// openCourier returns the courier, and tells whether it is new: then it has to be run.
+func (a *agent) openCourier(acknowledged func([]delivery.End)) (courier *notices.Courier[delivery.End], first bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.site.addr
+	if a.courier != nil {
+		return a.courier, false
+	}
+	a.courier = notices.New(a.site.addr, a.noticePlaces, a.connect, a.log, acknowledged)
+	return a.courier, true
 }
 
 // entriesOf are the notices of ends. The platform knows no other word for an end that is none to come again after, so that a refusal is
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,7 +37,8 @@
 	Shared   delivery.Shared   // where nodes that talk tell each other what they see; nil for none
 	Copies   delivery.Copies   // holds the journal on further nodes; nil for on none
 	Relay    Relay             // where one node's watch of discovery serves others; nil where each watches for itself
-	// Further fronts share the node's engine, and with it each partner's rate, waits and slots.
+	// Further fronts share the node's engine, and with it each partner's rate, waits and slots. The ends of those without a sink whose messages are
+	// handed in only once are told to the platform.
 	Further []delivery.Front
 }
 
@@ -85,13 +87,24 @@
 	engine := cfg.Engine()
 	engine.Members, engine.LeaveAfter, engine.Log = n.agent, leaveAfter, log
 	engine.Keeper, engine.Recorder, engine.Shared, engine.Copies = x.Keeper, x.Recorder, x.Shared, x.Copies
-	n.engine, err = delivery.Open(engine, append(x.Further, own)...)
+	n.engine, err = delivery.Open(engine, append(n.further(x.Further), own)...)
 	if err != nil {
 		return nil, err
 	}
 	return n, nil
 }
 
+// further are the fronts beside the node's own, with their sinks.
+func (n *Node) further(fronts []delivery.Front) []delivery.Front {
+	all := slices.Clone(fronts)
+	for i := range all {
+		if all[i].NoRetry && all[i].Sink == nil {
+			all[i].Sink = n.agent
+		}
+	}
+	return all
+}
+
 // Engine is the node's engine, for those who hand in by a further front.
 func (n *Node) Engine() *delivery.Engine { return n.engine }
 
