An heir of a stale copy sends no keyed message whose first attempt it does not know

Cause: the heir noted an attempt of its own time, and counted the key's window from there. Beside it: the mark of a stale copy was lost with the note that the heir replaced, and a window of attempts before a restart of the machine held again in the second life after it.

Change: an attempt of unknown time is written as one of a century ago, for untried messages of a stale copy and for keyed ones after another start of the machine. The first known attempt counts, the earliest of all. The heir's folder is marked by a file until its records say so, and its notes until its holders have them.

--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -244,7 +244,11 @@
 		l.Wait = time.Time{}
 	}
 	for _, s := range p.sends {
-		l.Tried = append(l.Tried, Tried{s.at, s.endpoint, s.zone, s.outcome, s.known, s.notRun, s.err})
+		tried := Tried{s.at, s.endpoint, s.zone, s.outcome, s.known, s.notRun, s.err}
+		if s.isUnknown(now) {
+			tried.Err = unknownAttempt
+		}
+		l.Tried = append(l.Tried, tried)
 	}
 	return l
 }
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -418,6 +418,7 @@
 			continue
 		}
 		*n.count(p)++
+		n.noteUnknownAttempt(p, false)
 		if n.cfg.Recorder != nil {
 			n.cfg.Recorder.Handed(Handed{Name: p.name(), Front: p.front, ID: p.id, Came: n.now()})
 		}
@@ -456,8 +457,8 @@
 	}
 	for _, s := range p.sends {
 		r.Failed = r.Failed || s.failed
-		if !s.notRun && !r.Touched {
-			r.Touched, r.MayRun, r.Zone = true, n.at(s.at), s.zone
+		if at := max(n.at(s.at), 1); !s.notRun && (!r.Touched || at < r.MayRun) {
+			r.Touched, r.MayRun, r.Zone = true, at, s.zone
 		}
 	}
 	if p.home.reboot { // the wall clock may have been stepped: no repeat by it, and no deadline further away than ever
--- a/delivery/held.go
+++ b/delivery/held.go
@@ -232,8 +232,9 @@
 var errNotHeld = errors.New("the attempt's record is not held by further nodes")
 
 // Inherit takes on what another's journal owes, and goes on with it in its folder: as a restart there would, but on this engine's
-// decisions. Of a stale journal, which may lack what was done last, each message that may not simply be repeated counts as one that may have run. It returns once that is held, with Copies. A message that the engine has already in the same front, by its id and its content, is passed over and logged. It may be
-// called by many goroutines at a time while the engine runs.
+// decisions. Of a stale journal, which may lack what was done last, each message that may not simply be repeated counts as one that may have run, at a
+// time that nobody knows: it is not sent again. It returns once that is written. A message that the engine has already in the same front, by
+// its id and its content, is passed over and logged. It may be called by many goroutines at a time while the engine runs.
 func (n *Engine) Inherit(ctx context.Context, dir string, stale bool) error {
 	err, asked := askLoop(ctx, n, func(reply chan error) any { return inherit{dir: dir, stale: stale, reply: reply} })
 	return errors.Join(asked, err)
@@ -275,9 +276,7 @@
 			continue
 		}
 		*n.count(p)++
-		if i.stale && n.cfg.Settings.Classes[p.class].Effect != choice.Safe {
-			j.add(attemptRecord(p.seq, j.clock.stamp(time.Now()), 0, ""))
-		}
+		n.noteUnknownAttempt(p, i.stale)
 		if n.cfg.Recorder != nil {
 			n.cfg.Recorder.Handed(Handed{Name: p.name(), Front: p.front, ID: p.id, Came: n.now()})
 		}
--- a/peers/copies.go
+++ b/peers/copies.go
@@ -267,6 +267,7 @@
 func (c *Copies) own(dir, name string, at copies.Chain) *stream {
 	st := &stream{name: name, dir: dir, owner: copies.NewOwner(c.s.self.Name, c.cfg.K, copyPatience, at), more: make(chan struct{}), senders: map[string]context.CancelFunc{}}
 	st.epochs, _ = epochs(dir) // an error says that nothing can be granted either
+	st.owner.SetLacks(dir != c.state && isStale(dir))
 	c.streams[dir] = st
 	return st
 }
--- a/peers/copies/copies.go
+++ b/peers/copies/copies.go
@@ -243,6 +243,7 @@
 	waits    map[uint64]wait // by ticket: the mark that it needs, and since when
 	tickets  []uint64
 	covered  uint64
+	lacks    bool          // the stream lacks records that its copies never had, and does not say so yet
 	lacking  time.Duration // since when there are fewer than k to hold, or the oldest ticket waits; 0 while neither is so
 }
 
@@ -367,7 +368,7 @@
 	switch {
 	case !o.IsNoted(): // before all else
 	case full && o.ready(o.wants):
-		want.Holders, want.Alone = o.wants, false
+		want.Holders, want.Alone = o.wants, o.note.Alone && o.lacks
 	case mayAlone && o.lacking != 0 && now-o.lacking > o.patience && !o.stands():
 		want.Alone = true
 	}
@@ -380,6 +381,10 @@
 	return want, true
 }
 
+// SetLacks tells whether the stream was read from a copy that may lack what its owner did alone, and has no records yet of what that may have been.
+// While it has none, a note says that copies may lack something, whoever holds them.
+func (o *Owner) SetLacks(lacks bool) { o.lacks = lacks }
+
 // End returns the note that says that the stream owes nothing more, to be asked for. What becomes of it is of no matter to this owner.
 func (o *Owner) End() Note {
 	o.serial++
--- a/peers/copies/copies_test.go
+++ b/peers/copies/copies_test.go
@@ -438,6 +438,34 @@
 	}
 }
 
+// Guards against an heir of a stale copy whose holders are noted as having all, before the stream says what the copy may lack: the next heir would take the
+// copies for whole.
+func TestAnHeirOfAStaleCopyNotesThatUntilItsStreamSaysSo(t *testing.T) {
+	o := NewOwner("heir", 1, patience, Chain{Mark: 10})
+	o.SetLacks(true)
+	o.Granted(Note{Holders: []string{"heir"}, Alone: true, Epoch: 1}, 2, 0)
+	if note, ok := o.Ask(1, true); !ok || !note.Alone || note.Epoch != 2 {
+		t.Fatalf("%v, %v", note, ok)
+	}
+	o.Noted(Agreed)
+	o.Choose([]string{"a"})
+	o.Acked("a", 10)
+	if note, ok := o.Ask(2, true); !ok || !note.Alone || !slices.Equal(note.Holders, []string{"a"}) {
+		t.Errorf("before the stream says so: %v, %v", note, ok)
+	}
+	o.Noted(Agreed)
+	o.Wrote(3, 1, Chain{Mark: 20}) // what the copy may lack
+	o.SetLacks(false)
+	o.Covered(4, true)
+	if note, ok := o.Ask(5, true); ok && !note.Alone {
+		t.Errorf("before the holder has it: %v", note)
+	}
+	o.Acked("a", 20)
+	if note, ok := o.Ask(6, true); !ok || note.Alone {
+		t.Errorf("once the holder has it: %v, %v", note, ok)
+	}
+}
+
 // An heir that held the stream itself stands in its note until further nodes have all of it, and is none of them.
 func TestHeirIsNoHolder(t *testing.T) {
 	o := NewOwner("b", 1, patience, Chain{Mark: 10})
--- a/peers/heirs.go
+++ b/peers/heirs.go
@@ -109,7 +109,14 @@
 	}
 	at := copies.Begin(found[slices.IndexFunc(found, func(f copies.Found) bool { return f.Holder == from })].Shelf.At, token)
 	dir := filepath.Join(c.state, inheritedDir, hex.EncodeToString([]byte(name)))
-	if err := errors.Join(os.RemoveAll(dir), delivery.Restore(dir, delivery.Chain{Mark: at.Mark, Digest: at.Digest}, records[from])); err != nil {
+	err := os.RemoveAll(dir)
+	if err == nil && note.Alone {
+		err = markStale(dir)
+	}
+	if err == nil {
+		err = delivery.Restore(dir, delivery.Chain{Mark: at.Mark, Digest: at.Digest}, records[from])
+	}
+	if err != nil {
 		log.Error("a journal can't be inherited", "stream", name, "err", err)
 		return
 	}
@@ -123,10 +130,16 @@
 
 // takeOn has the engine go on with a journal that this node inherited, in this life or an earlier one.
 func (c *Copies) takeOn(ctx context.Context, st *stream) {
-	c.mu.Lock()
-	stale := st.owner.Note().Alone
-	c.mu.Unlock()
-	if err := c.engine.Inherit(ctx, st.dir, stale); err != nil && ctx.Err() == nil {
+	err := c.engine.Inherit(ctx, st.dir, isStale(st.dir))
+	switch {
+	case err == nil:
+		if err := clearStale(st.dir); err != nil { // another start marks it again, which does no harm
+			c.s.o.Log.Error("a stale journal stays marked", "stream", st.name, "err", err)
+		}
+		c.mu.Lock()
+		st.owner.SetLacks(false)
+		c.mu.Unlock()
+	case ctx.Err() == nil:
 		c.s.o.Log.Error("a journal is not inherited", "stream", st.name, "err", err)
 		c.mu.Lock()
 		c.drop(st)
@@ -135,6 +148,31 @@
 	}
 }
 
+// staleName names the file that says of a journal's folder that it was read from a copy which may lack what its owner did alone, and that its records do
+// not say so yet. It outlasts the process: the note of the lease may have changed by the next start.
+const staleName = "copies.stale"
+
+func markStale(dir string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, staleName), nil, 0o600)
+}
+
+// isStale tells whether a folder is marked. One that can't be looked at may be.
+func isStale(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, staleName))
+	return !errors.Is(err, os.ErrNotExist)
+}
+
+func clearStale(dir string) error {
+	err := os.Remove(filepath.Join(dir, staleName))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	return err
+}
+
 // empty ends streams that were inherited and owe nothing more. It is called by one goroutine at a time.
 func (c *Copies) empty(ctx context.Context) {
 	dirs, err := c.engine.Done(ctx)
