Large bodies of all clients share an eighth of the node's memory

Cause: the number of connections and the size of a request were bounded, their product was not; nor were bodies in the engine's queue.

Change: bodies over 4 KB take units of a common memory from their first bytes to the answer. One that gets none within 100 ms is read past and refused. AS2: connections by the node's memory, heads of 16 KiB within 5 s.

The eighth, 4 KB and 100 ms were chosen. AS2 was not measured.

--- a/as2/gateway/gateway.go
+++ b/as2/gateway/gateway.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/net/netutil"
+
 	"starlingusher/as2"
 	"starlingusher/as2/carrier"
 	"starlingusher/as2/ledger"
@@ -27,6 +29,11 @@
 	frontName  = "as2-in" // the engine's, of what partners post
 	keepFor    = 90 * 24 * time.Hour
 	leaveTime  = 2 * time.Second
+
+	// A partner's connection may hold a document of 1 MiB, in several forms while that is opened.
+	memoryPerConnection = 8 // MB of the node's
+	leastConnections    = 4
+	mostConnections     = 64
 )
 
 // Options are a gateway's.
@@ -36,6 +43,7 @@
 	Classes     []string
 	DialTimeout time.Duration
 	Log         *slog.Logger // nil for none
+	MemoryMB    int64        // the node's limit, of which partners' connections may take a part; 0 for none
 	// Late is told of a message that a receipt proves to be delivered when nobody waits for it any more. It may be nil.
 	Late func(delivery.Ref)
 }
@@ -69,6 +77,7 @@
 		if g.ln, err = net.Listen("tcp", file.Listen); err != nil {
 			return nil, errors.Join(fmt.Errorf("as2: %w", err), g.ledger.Close())
 		}
+		g.ln = netutil.LimitListener(g.ln, connections(o.MemoryMB))
 	}
 	g.carrier = carrier.New(carrier.Options{
 		Self: file.Self, Key: file.Key, Links: Links(file), Ledger: g.ledger, DialTimeout: o.DialTimeout,
@@ -77,6 +86,14 @@
 	return g, nil
 }
 
+// connections is how many partners may have open at a time.
+func connections(memoryMB int64) int {
+	if memoryMB <= 0 {
+		return mostConnections
+	}
+	return int(min(max(memoryMB/memoryPerConnection, leastConnections), mostConnections))
+}
+
 // Links are those of a file's partners that messages are sent to.
 func Links(file *setup.File) map[int]carrier.Link {
 	all := map[int]carrier.Link{}
--- a/as2/server/server.go
+++ b/as2/server/server.go
@@ -63,8 +63,10 @@
 	postEvery    = 500 * time.Millisecond
 	postTime     = 10 * time.Second
 	maxPosts     = 64
-	maxHeadBytes = 32 << 10
+	maxHeadBytes = 16 << 10
+	headTime     = 5 * time.Second // connections are few: one that says nothing keeps others out
 	readTime     = 30 * time.Second
+	idleTime     = 5 * time.Second
 )
 
 // Server is an http.Handler for a partner's posts, and has receipts posted and ends acknowledged while it runs.
@@ -95,7 +97,7 @@
 
 // HTTP returns an http.Server for it, with bounds on time and size.
 func (s *Server) HTTP() *http.Server {
-	return &http.Server{Handler: s, ReadHeaderTimeout: readTime, ReadTimeout: 2 * readTime, WriteTimeout: 4 * readTime,
+	return &http.Server{Handler: s, ReadHeaderTimeout: headTime, ReadTimeout: readTime, WriteTimeout: 2 * readTime, IdleTimeout: idleTime,
 		MaxHeaderBytes: maxHeadBytes}
 }
 
--- a/cmd/coralyard/as2.go
+++ b/cmd/coralyard/as2.go
@@ -31,7 +31,7 @@
 	if file == "" {
 		return nil, nil
 	}
-	o := gateway.Options{File: file, State: cfg.State, Classes: cfg.Names.Classes, DialTimeout: cfg.Settings.DialTimeout, Log: log}
+	o := gateway.Options{File: file, State: cfg.State, Classes: cfg.Names.Classes, DialTimeout: cfg.Settings.DialTimeout, Log: log, MemoryMB: cfg.Limits.MemoryMB}
 	if again != nil {
 		o.Late = func(r delivery.Ref) {
 			if err := again.Delivered([]delivery.Ref{r}); err != nil {
--- /dev/null
+++ b/internal/faults/clients/node_test.go
@@ -0,0 +1,152 @@
+// Package clients plays hostile and unlucky clients against the program as a process: it has to stay within its memory, serve others, and run nothing twice.
+package clients
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"starlingusher/internal/standin"
+)
+
+const (
+	patience  = 20 * time.Second
+	partner   = 7 // the destination of the one endpoint
+	megabytes = 1 << 20
+)
+
+const settings = `{"fleetSize":1,"categories":[
+	{"name":"table-status","effect":"idempotent","aim":4000,"deadline":20000,"worth":1,"lateWorth":0.3},
+	{"name":"prize-payout","effect":"at_most_once","aim":4000,"deadline":20000,"worth":4,"lateWorth":0.3}],
+	"contract":{"coldFrom":0.29,"fall":2000,"fallMultiple":1.5,"graceToAnswer":20,"stopSendingWithin":250,"warmWithin":11000},
+	"discovery":"pushed","domain":{"decay":"line","kindBatch":[1],"separateRoutes":[false],"workers":64},
+	"failureDomains":["a"],"flavors":["plain"],
+	"limits":{"cancel":true,"connIdle":5000,"dialTimeout":1000,"maxAttempts":12,"maxOpen":400,"maxRetryAfter":300,"retryAfter":true},
+	"tick":5,"weights":"rough"}`
+
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		folder, err := os.MkdirTemp("", "clients-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(folder)
+		program = filepath.Join(folder, "coralyard")
+		if out, err := exec.Command("go", "build", "-o", program, "starlingusher/cmd/coralyard").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "%s: %v\n", out, err)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// process is a node as a process, with an endpoint and discovery of its own.
+type process struct {
+	t         *testing.T
+	cmd       *exec.Cmd
+	addr      string
+	endpoint  *standin.HTTP
+	discovery *standin.Discovery
+	log       bytes.Buffer
+}
+
+func start(t *testing.T, limits standin.Limits, script standin.Script) *process {
+	t.Helper()
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	p := &process{t: t}
+	var err error
+	p.endpoint, err = standin.NewHTTP(script, nil)
+	must(err)
+	t.Cleanup(p.endpoint.Close)
+	p.discovery, err = standin.NewDiscovery()
+	must(err)
+	t.Cleanup(p.discovery.Close)
+	port, err := standin.ReservePort()
+	must(err)
+	p.addr = port.Addr()
+	must(port.Close())
+	members := []standin.Member{{ID: "e", Addr: p.endpoint.Addr(), Zone: "a", Kind: "plain", Dest: partner, Phase: "SERVING", Size: 20000}}
+	text, err := standin.NodeConfig(p.addr, p.discovery.Addr(), limits, settings, members)
+	must(err)
+	folder := t.TempDir()
+	config := filepath.Join(folder, "node.json")
+	must(os.WriteFile(config, text, 0o600))
+	p.cmd = exec.Command(program)
+	p.cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+config, "ROUTER_STATE="+folder, "ROUTER_NAME=n")
+	p.cmd.Stderr = &p.log
+	must(p.cmd.Start())
+	t.Cleanup(p.stop)
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		if c, err := net.Dial("tcp", p.addr); err == nil {
+			c.Close()
+			return p
+		}
+		if time.Now().After(end) {
+			t.Fatalf("the node takes no clients:\n%s", p.log.String())
+		}
+	}
+}
+
+// stop ends the process as the platform does, and fails the test if it has ended by itself.
+func (p *process) stop() {
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if err := p.cmd.Wait(); err != nil {
+		p.t.Errorf("the node ended by itself, or badly: %v\n%s", err, p.log.String())
+	}
+}
+
+// peakMemory is the most memory that the process has had resident, in bytes.
+func (p *process) peakMemory() int {
+	p.t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+			if err != nil {
+				p.t.Fatal(err)
+			}
+			return kilobytes << 10
+		}
+	}
+	p.t.Fatal("the system tells no peak of memory")
+	return 0
+}
+
+// dial connects a client, with a bound for all that it does.
+func (p *process) dial() (net.Conn, *bufio.Reader) {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { c.Close() })
+	if err := c.SetDeadline(time.Now().Add(2 * patience)); err != nil {
+		p.t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
+
+// enqueue is the command that hands a message in.
+func enqueue(id, class string, life time.Duration, body string) string {
+	return standin.Command("ENQUEUE", "0", id, fmt.Sprintf("c=%s,d=%d,dest=%d", class, life.Milliseconds(), partner), body)
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	queue "container/list"
 	"context"
 	"errors"
@@ -11,7 +10,6 @@
 	"log/slog"
 	"net"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,9 +19,6 @@
 	"starlingusher/internal/wire"
 )
 
-// The reader below is our own: redcon v1.6.4 indexes out of its buffer on a bulk length near the largest
-// integer, loops over whatever array count it is told, and buffers requests without bound.
-
 const (
 	maxBody    = delivery.MaxBody
 	maxWord    = 1 << 10 // of a request's words, all but the body
@@ -60,203 +55,6 @@
 	return "+OK\r\n"
 }
 
-// errProtocol ends a connection: where its next request begins can't be told.
-var errProtocol = errors.New("Protocol error")
-
-// errTooLarge is a request that was read to its end and can't be taken.
-var errTooLarge = errors.New("a body holds 65536 bytes at most")
-
-// readCommand reads an array of bulk strings or an inline command, within bounds. Empty commands are passed over.
-func readCommand(r *bufio.Reader) ([][]byte, error) {
-	for range maxEmpty {
-		line, err := readLine(r)
-		if err != nil {
-			return nil, err
-		}
-		args := bytes.Fields(line)
-		if len(line) > 0 && line[0] == '*' {
-			if args, err = readArray(r, line[1:]); err != nil {
-				return nil, err
-			}
-		}
-		if len(args) > 0 {
-			return args, nil
-		}
-	}
-	return nil, fmt.Errorf("%w: nothing but empty commands", errProtocol)
-}
-
-func readArray(r *bufio.Reader, length []byte) ([][]byte, error) {
-	count, err := number(string(length))
-	if err != nil || count > maxArgs {
-		return nil, fmt.Errorf("%w: invalid multibulk length", errProtocol)
-	}
-	args := make([][]byte, 0, count)
-	skipped := 0
-	for i := range count {
-		line, err := readLine(r)
-		if err != nil {
-			return nil, unexpected(err)
-		}
-		if len(line) == 0 || line[0] != '$' {
-			return nil, fmt.Errorf("%w: expected '$'", errProtocol)
-		}
-		size, err := number(string(line[1:]))
-		if err != nil {
-			return nil, fmt.Errorf("%w: invalid bulk length", errProtocol)
-		}
-		most := maxWord
-		if i == bodyArg {
-			most = maxBody
-		}
-		if size > most {
-			if skipped += size; skipped > maxSkipped {
-				return nil, fmt.Errorf("%w: invalid bulk length", errProtocol)
-			}
-			if _, err := r.Discard(size); err != nil {
-				return nil, unexpected(err)
-			}
-			size = 0
-		}
-		arg, err := readBulk(r, size)
-		if err != nil {
-			return nil, err
-		}
-		args = append(args, arg)
-	}
-	if skipped > 0 {
-		return nil, errTooLarge
-	}
-	return args, nil
-}
-
-// readBulk reads a bulk string and the end of its line. Room is made as the bytes come, not as they are announced.
-func readBulk(r *bufio.Reader, size int) ([]byte, error) {
-	arg := make([]byte, min(size+2, r.Size()))
-	if _, err := io.ReadFull(r, arg); err != nil {
-		return nil, unexpected(err)
-	}
-	for have := len(arg); have < size+2; have = len(arg) {
-		arg = append(arg, make([]byte, min(have, size+2-have))...)
-		if _, err := io.ReadFull(r, arg[have:]); err != nil {
-			return nil, unexpected(err)
-		}
-	}
-	if string(arg[size:]) != "\r\n" {
-		return nil, fmt.Errorf("%w: a bulk string of another length than told", errProtocol)
-	}
-	return arg[:size:size], nil
-}
-
-// number reads a whole number as the protocol writes it: digits alone.
-func number(text string) (int, error) {
-	if len(text) > 9 {
-		return 0, errors.New("the number is too long")
-	}
-	for _, c := range []byte(text) {
-		if c < '0' || c > '9' {
-			return 0, errors.New("the number has other characters than digits")
-		}
-	}
-	return strconv.Atoi(text)
-}
-
-// decimal reads a number that is written in digits, with a point or without. ParseFloat alone takes
-// infinities, hexadecimal and exponents as well.
-func decimal(text string, most float64) (float64, error) {
-	for _, c := range []byte(text) {
-		if (c < '0' || c > '9') && c != '.' {
-			return 0, errors.New("no plain decimal number")
-		}
-	}
-	v, err := strconv.ParseFloat(text, 64)
-	if err == nil && v > most {
-		err = errors.New("the number is too large")
-	}
-	return v, err
-}
-
-// unexpected keeps an end inside a request apart from one between requests.
-func unexpected(err error) error {
-	if errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	}
-	return err
-}
-
-func readLine(r *bufio.Reader) ([]byte, error) {
-	line, err := r.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) || (err == nil && len(line) > maxLine) {
-		return nil, fmt.Errorf("%w: a line too long", errProtocol)
-	}
-	if err != nil {
-		if len(line) > 0 {
-			return nil, unexpected(err)
-		}
-		return nil, err
-	}
-	return []byte(strings.TrimRight(string(line), "\r\n")), nil
-}
-
-// parseEnqueue reads the words of an ENQUEUE.
-func parseEnqueue(args [][]byte, names wire.Names, came time.Time) (delivery.Message, error) {
-	q := delivery.Message{Came: came, Class: -1, Dest: -1, Life: -1}
-	if len(args) != 5 {
-		return q, errors.New("wrong number of arguments for 'enqueue' command")
-	}
-	q.ID, q.Body = string(args[2]), args[4]
-	if !isToken(q.ID) {
-		return q, errors.New("the id can't be used")
-	}
-	if len(args[3]) > maxWord {
-		return q, errors.New("the fields are too long")
-	}
-	for field := range strings.SplitSeq(string(args[3]), ",") {
-		name, value, _ := strings.Cut(field, "=")
-		switch name {
-		case "c":
-			if q.Class = slices.Index(names.Classes, value); q.Class < 0 {
-				return q, errors.New("unknown class")
-			}
-		case "t":
-			// Where there are no tenants, it says nothing.
-			if q.Tenant = slices.Index(names.Tenants, value) + 1; q.Tenant == 0 && len(names.Tenants) > 0 {
-				return q, errors.New("unknown tenant")
-			}
-		case "d":
-			ms, err := decimal(value, float64(maxLife.Milliseconds()))
-			if err != nil {
-				return q, errors.New("d is no time in milliseconds")
-			}
-			q.Life = time.Duration(ms * float64(time.Millisecond))
-		case "dest":
-			n, err := number(value)
-			if err != nil {
-				return q, errors.New("dest is no number")
-			}
-			q.Dest = n
-		case "k":
-			if q.Key = value; !isToken(value) {
-				return q, errors.New("the key can't be used")
-			}
-		}
-	}
-	if q.Class < 0 || q.Life < 0 || q.Dest < 0 {
-		return q, errors.New("c, d and dest are needed")
-	}
-	return q, nil
-}
-
-// isToken tells that a word can go into a header as it is.
-func isToken(s string) bool {
-	for _, c := range []byte(s) {
-		if c <= ' ' || c > '~' {
-			return false
-		}
-	}
-	return len(s) > 0 && len(s) <= 256
-}
-
 // session is one client's connection. Only its own goroutine reads and writes; the clients' lock guards place.
 type session struct {
 	net.Conn
@@ -267,12 +65,14 @@
 	used   bool           // it has had an answer
 	asked  string         // why it was asked to end; the clients' lock guards it
 	place  *queue.Element // among those with no request open
+	room   bodyRoom       // of the request that is read
 }
 
 // promise is an answer to a command: a line, or one that is made of what the engine says.
 type promise struct {
 	line   string
 	answer func() delivery.Answer
+	units  int // of memory that its body holds until the answer is known
 }
 
 // Read flushes first: the client may be waiting for those answers. A deadline that passed while the process did
@@ -302,6 +102,7 @@
 			p.line = answerLine(p.answer())
 		}
 		s.unsent = append(s.unsent, p.line...)
+		s.room.give(p.units)
 		s.owed[i] = promise{}
 	}
 	s.owed = s.owed[:0]
@@ -343,6 +144,7 @@
 	names  wire.Names
 	offer  func(delivery.Message) func() delivery.Answer
 	log    *slog.Logger
+	bodies bodyMemory
 
 	mu     sync.Mutex
 	open   map[*session]bool
@@ -352,10 +154,10 @@
 	wg     sync.WaitGroup
 }
 
-func newClients(ln net.Listener, most int, names wire.Names, log *slog.Logger, offer func(delivery.Message) func() delivery.Answer) *clients {
+func newClients(ln net.Listener, most int, bodies bodyMemory, names wire.Names, log *slog.Logger, offer func(delivery.Message) func() delivery.Answer) *clients {
 	return &clients{
 		ln: ln, room: make(chan struct{}, max(most, 1)), keep: max(most/3, 1), stop: make(chan struct{}), served: make(chan struct{}),
-		names: names, offer: offer, log: log, open: map[*session]bool{},
+		names: names, offer: offer, log: log, bodies: bodies, open: map[*session]bool{},
 	}
 }
 
@@ -461,12 +263,15 @@
 
 func (c *clients) serveConn(nc net.Conn) {
 	s := &session{Conn: nc}
+	s.room = bodyRoom{memory: c.bodies, before: s.settle}
 	c.mu.Lock()
 	c.open[s] = true
 	c.mu.Unlock()
 	requests := 0
 	reason := ""
 	defer func() {
+		s.room.give(s.room.detach())
+		s.settle() // what is owed gives its memory back, heard or not
 		c.mu.Lock()
 		c.unplace(s)
 		delete(c.open, s)
@@ -493,13 +298,15 @@
 			return
 		}
 		requests++
-		args, err := readCommand(r)
+		args, err := readCommand(r, &s.room)
 		var p promise
 		switch {
 		case err == nil:
 			p = c.command(args, came)
 		case errors.Is(err, errTooLarge):
 			p = failed(err)
+		case errors.Is(err, errCrowded):
+			p = promise{line: answerLine(delivery.Answer{Refused: true, After: bodyWait})}
 		case errors.Is(err, errProtocol), errors.Is(err, os.ErrDeadlineExceeded):
 			if !errors.Is(err, errProtocol) {
 				err = fmt.Errorf("%w: the request took too long", errProtocol)
@@ -513,6 +320,7 @@
 			reason = "inside a request: " + err.Error()
 			return
 		}
+		p.units = s.room.detach()
 		if err := s.say(p); err != nil {
 			reason = "the answer can't be written: " + err.Error()
 			return
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -29,12 +29,17 @@
 }
 
 func serveOffers(t *testing.T, most int, offer func(delivery.Message) func() delivery.Answer) (*clients, string) {
+	t.Helper()
+	return serveWith(t, most, nil, offer)
+}
+
+func serveWith(t *testing.T, most int, bodies bodyMemory, offer func(delivery.Message) func() delivery.Answer) (*clients, string) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newClients(ln, most, wire.Names{Classes: []string{"notice"}}, slog.New(slog.DiscardHandler), offer)
+	c := newClients(ln, most, bodies, wire.Names{Classes: []string{"notice"}}, slog.New(slog.DiscardHandler), offer)
 	go c.serve(t.Context())
 	t.Cleanup(func() {
 		select {
@@ -357,7 +362,7 @@
 	runtime.ReadMemStats(&before)
 	for range runs {
 		r := bufio.NewReaderSize(strings.NewReader("*5\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$1\r\na\r\n$65536\r\nxyz"), 4096)
-		if _, err := readCommand(r); !errors.Is(err, io.ErrUnexpectedEOF) {
+		if _, err := readCommand(r, &bodyRoom{}); !errors.Is(err, io.ErrUnexpectedEOF) {
 			t.Fatalf("got %v", err)
 		}
 	}
@@ -375,7 +380,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		r := bufio.NewReaderSize(bytes.NewReader(text), 4096)
 		for {
-			args, err := readCommand(r)
+			args, err := readCommand(r, &bodyRoom{})
 			if err != nil && !errors.Is(err, errTooLarge) {
 				return
 			}
--- a/internal/node/local_test.go
+++ b/internal/node/local_test.go
@@ -86,7 +86,7 @@
 			}
 			flaky := &failingListener{Listener: ln, errno: errno}
 			flaky.left.Store(5)
-			c := newClients(flaky, 8, wire.Names{}, slog.New(slog.DiscardHandler), nil)
+			c := newClients(flaky, 8, nil, wire.Names{}, slog.New(slog.DiscardHandler), nil)
 			ctx, cancel := context.WithCancel(context.Background())
 			go c.serve(ctx) // ends with the listener
 			defer func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,7 +112,7 @@
 func (n *Node) Run(ctx context.Context, ln net.Listener) error {
 	n.log.Info("serving", "sockets", n.cfg.Limits.Sockets, "memory_mb", n.cfg.Limits.MemoryMB, "disk_mb", n.cfg.Limits.DiskMB,
 		"cores", n.cfg.Limits.Cores, "slots", n.cfg.Settings.Slots, "max_open", n.cfg.Settings.MaxOpen)
-	n.clients = newClients(ln, n.cfg.Limits.Sockets/2, n.cfg.Names, n.log, func(m delivery.Message) func() delivery.Answer {
+	n.clients = newClients(ln, n.cfg.Limits.Sockets/2, newBodyMemory(n.cfg.Limits.MemoryMB), n.cfg.Names, n.log, func(m delivery.Message) func() delivery.Answer {
 		return n.engine.Offer(Front, m).Answer
 	})
 	life, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- /dev/null
+++ b/internal/node/resp.go
@@ -0,0 +1,179 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+)
+
+// The reader below is our own: redcon v1.6.4 indexes out of its buffer on a bulk length near the largest
+// integer, loops over whatever array count it is told, and buffers requests without bound.
+
+const lineEnd = "\r\n"
+
+// errProtocol ends a connection: where its next request begins can't be told.
+var errProtocol = errors.New("Protocol error")
+
+// errBulkLength is of a bulk string that is not followed by the end of its line.
+var errBulkLength = fmt.Errorf("%w: a bulk string of another length than told", errProtocol)
+
+// errTooLarge is a request that was read to its end and can't be taken.
+var errTooLarge = errors.New("a body holds 65536 bytes at most")
+
+// errCrowded is a request that was read to its end, and for whose body there was no memory.
+var errCrowded = errors.New("no memory for the body")
+
+// readCommand reads an array of bulk strings or an inline command, within bounds, and a body into the room that there is for it. Empty commands
+// are passed over.
+func readCommand(r *bufio.Reader, room *bodyRoom) ([][]byte, error) {
+	for range maxEmpty {
+		line, err := readLine(r)
+		if err != nil {
+			return nil, err
+		}
+		args := bytes.Fields(line)
+		if len(line) > 0 && line[0] == '*' {
+			if args, err = readArray(r, line[1:], room); err != nil {
+				return nil, err
+			}
+		}
+		if len(args) > 0 {
+			return args, nil
+		}
+	}
+	return nil, fmt.Errorf("%w: nothing but empty commands", errProtocol)
+}
+
+func readArray(r *bufio.Reader, length []byte, room *bodyRoom) ([][]byte, error) {
+	count, err := number(string(length))
+	if err != nil || count > maxArgs {
+		return nil, fmt.Errorf("%w: invalid multibulk length", errProtocol)
+	}
+	args := make([][]byte, 0, count)
+	skipped, crowded := 0, false
+	for i := range count {
+		line, err := readLine(r)
+		if err != nil {
+			return nil, unexpected(err)
+		}
+		if len(line) == 0 || line[0] != '$' {
+			return nil, fmt.Errorf("%w: expected '$'", errProtocol)
+		}
+		size, err := number(string(line[1:]))
+		if err != nil {
+			return nil, fmt.Errorf("%w: invalid bulk length", errProtocol)
+		}
+		most := maxWord
+		if i == bodyArg {
+			most = maxBody
+		}
+		if size > most {
+			if skipped += size; skipped > maxSkipped {
+				return nil, fmt.Errorf("%w: invalid bulk length", errProtocol)
+			}
+			if _, err := r.Discard(size); err != nil {
+				return nil, unexpected(err)
+			}
+			size = 0
+		}
+		arg, err := readBulk(r, size, room)
+		if errors.Is(err, errCrowded) {
+			crowded = true
+		} else if err != nil {
+			return nil, err
+		}
+		args = append(args, arg)
+	}
+	switch {
+	case skipped > 0:
+		return nil, errTooLarge
+	case crowded:
+		return nil, errCrowded
+	}
+	return args, nil
+}
+
+// readBulk reads a bulk string and the end of its line. Room is made as the bytes come, not as they are announced. Where there is none, the string is read
+// past, and the error is errCrowded.
+func readBulk(r *bufio.Reader, size int, room *bodyRoom) ([]byte, error) {
+	whole := size + len(lineEnd)
+	first := min(whole, r.Size())
+	if whole > first && !room.grow(first) {
+		return nil, passBulk(r, whole)
+	}
+	arg := make([]byte, first)
+	if _, err := io.ReadFull(r, arg); err != nil {
+		return nil, unexpected(err)
+	}
+	for have := len(arg); have < whole; have = len(arg) {
+		more := min(have, whole-have)
+		if !room.grow(have + more) {
+			return nil, passBulk(r, whole-have)
+		}
+		arg = append(arg, make([]byte, more)...)
+		if _, err := io.ReadFull(r, arg[have:]); err != nil {
+			return nil, unexpected(err)
+		}
+	}
+	if string(arg[size:]) != lineEnd {
+		return nil, errBulkLength
+	}
+	return arg[:size:size], nil
+}
+
+// passBulk reads past what is left of a bulk string and the end of its line.
+func passBulk(r *bufio.Reader, left int) error {
+	if left > len(lineEnd) {
+		if _, err := r.Discard(left - len(lineEnd)); err != nil {
+			return unexpected(err)
+		}
+		left = len(lineEnd)
+	}
+	end := make([]byte, left)
+	if _, err := io.ReadFull(r, end); err != nil {
+		return unexpected(err)
+	}
+	if string(end) != lineEnd[len(lineEnd)-left:] {
+		return errBulkLength
+	}
+	return errCrowded
+}
+
+// number reads a whole number as the protocol writes it: digits alone.
+func number(text string) (int, error) {
+	if len(text) > 9 {
+		return 0, errors.New("the number is too long")
+	}
+	for _, c := range []byte(text) {
+		if c < '0' || c > '9' {
+			return 0, errors.New("the number has other characters than digits")
+		}
+	}
+	return strconv.Atoi(text)
+}
+
+// unexpected keeps an end inside a request apart from one between requests.
+func unexpected(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) || (err == nil && len(line) > maxLine) {
+		return nil, fmt.Errorf("%w: a line too long", errProtocol)
+	}
+	if err != nil {
+		if len(line) > 0 {
+			return nil, unexpected(err)
+		}
+		return nil, err
+	}
+	return []byte(strings.TrimRight(string(line), "\r\n")), nil
+}
