A client's connection has a budget of commands, and rests when it is over it

Cause: its connection and the engine's loop wake each other without a rest, so that the scheduler looks at the network every 10 ms and at its global queue every 61 turns. Not the queue (64 messages of a client) nor the cost of a message (10 us), by a profile.

The budget was chosen, far above what one connection was seen to hand in; nothing was tuned.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -66,6 +66,8 @@
 	asked  string         // why it was asked to end; the clients' lock guards it
 	place  *queue.Element // among those with no request open
 	room   bodyRoom       // of the request that is read
+	pace   pace
+	pause  time.Duration // before its next command
 }
 
 // promise is an answer to a command: a line, or one that is made of what the engine says.
@@ -95,17 +97,46 @@
 	return n, err
 }
 
-// settle waits for the answers that are owed.
+// settle waits for the answers that are owed, and takes their commands out of the client's budget.
 func (s *session) settle() {
+	if len(s.owed) == 0 {
+		return
+	}
+	units := 0
 	for i, p := range s.owed {
+		cost := paceNothing
 		if p.answer != nil {
-			p.line = answerLine(p.answer())
+			answer := p.answer()
+			if answer == (delivery.Answer{}) {
+				cost = paceTaken
+			}
+			p.line = answerLine(answer)
 		}
+		units += cost
 		s.unsent = append(s.unsent, p.line...)
 		s.room.give(p.units)
 		s.owed[i] = promise{}
 	}
 	s.owed = s.owed[:0]
+	s.pause = s.pace.spend(time.Now(), units)
+}
+
+// rest has a client that is over its budget wait, once it has its answers, unless the node stops.
+func (s *session) rest(stop <-chan struct{}) error {
+	if s.pause == 0 {
+		return nil
+	}
+	if err := s.flush(); err != nil {
+		return err
+	}
+	over := time.NewTimer(s.pause)
+	defer over.Stop()
+	s.pause = 0
+	select {
+	case <-over.C:
+	case <-stop:
+	}
+	return nil
 }
 
 func (s *session) flush() error {
@@ -282,6 +313,10 @@
 	}()
 	r := bufio.NewReaderSize(s, 4096)
 	for {
+		if err := s.rest(c.stop); err != nil {
+			reason = "the answer can't be written: " + err.Error()
+			return
+		}
 		if r.Buffered() == 0 && !c.rest(s) {
 			reason = "the node leaves"
 			s.flush()
