Ids of ended messages are remembered for 10 s at up to 6,500 ends a second

Cause: ends were remembered for 10 s, but for the last 1,024 messages at most: 0.08 s at 13,000 a second.

Change: 65,536, by digests of their names.

--- a/delivery/repeats.go
+++ b/delivery/repeats.go
@@ -1,22 +1,29 @@
 package delivery
 
-import "time"
+import (
+	"cmp"
+	"hash/maphash"
+	"time"
+)
 
 const (
 	// repeatMemory is for how long after its end a message that is handed in again has no second effect. A client whose
 	// connection broke over the answer hands its request in once more at once; a machine that is short of descriptors may
 	// read that only seconds later.
 	repeatMemory = 10 * time.Second
-	// repeatMost bounds how many ended messages are remembered; beyond it the oldest are forgotten first.
-	repeatMost = 1024
+	// repeatMost bounds how many ended messages are remembered; beyond it the oldest are forgotten first. It is as many as end in repeatMemory
+	// at 6,500 a second, and takes 4 MB.
+	repeatMost = 1 << 16
 )
 
-// recentEnds remembers the messages that ended, or were refused, a short while ago, by front and id as ref has them. It is for one goroutine.
+// recentEnds remembers the messages that ended, or were refused, a short while ago, by front and id as ref has them. Names stand as digests, so that many
+// take little room. The zero value is ready; it is for one goroutine.
 type recentEnds struct {
-	known map[string]knownEnd
-	queue [repeatMost]recentEnd // a ring, oldest first
+	seed  maphash.Seed
+	known map[uint64]knownEnd
+	queue []recentEnd // oldest first, from first on
 	first int
-	count int
+	most  int // 0 for repeatMost
 }
 
 // knownEnd is how a message ended, and what was in it.
@@ -27,47 +34,54 @@
 
 // recentEnd is a message and when it ended.
 type recentEnd struct {
-	name string
+	name uint64
 	at   time.Duration
 }
 
 // add notes that a message has ended now, and how.
 func (r *recentEnds) add(name string, end knownEnd, now time.Duration) {
-	r.expire(now)
-	if _, known := r.known[name]; known {
+	if _, known := r.look(name, now); known {
 		return
 	}
-	if r.count == repeatMost {
+	if len(r.queue)-r.first >= cmp.Or(r.most, repeatMost) {
 		r.drop()
 	}
 	if r.known == nil {
-		r.known = map[string]knownEnd{}
+		r.known, r.seed = map[uint64]knownEnd{}, maphash.MakeSeed()
 	}
-	r.known[name] = end
-	r.queue[(r.first+r.count)%repeatMost] = recentEnd{name, now}
-	r.count++
+	digest := maphash.String(r.seed, name)
+	r.known[digest] = end
+	r.queue = append(r.queue, recentEnd{digest, now})
 }
 
 // look tells whether a message ended within repeatMemory, and how.
 func (r *recentEnds) look(name string, now time.Duration) (end knownEnd, known bool) {
 	r.expire(now)
-	end, known = r.known[name]
+	if len(r.known) == 0 {
+		return end, false
+	}
+	end, known = r.known[maphash.String(r.seed, name)]
 	return end, known
 }
 
 // expire drops what ended longer ago than repeatMemory.
 func (r *recentEnds) expire(now time.Duration) {
-	for r.count > 0 && now-r.queue[r.first].at > repeatMemory {
+	for r.first < len(r.queue) && now-r.queue[r.first].at > repeatMemory {
 		r.drop()
 	}
 }
 
-// drop drops the oldest.
+// drop drops the oldest. What it leaves of the queue is moved once half of it is empty, and the room of many goes with the last.
 func (r *recentEnds) drop() {
 	delete(r.known, r.queue[r.first].name)
-	r.queue[r.first] = recentEnd{}
-	r.first = (r.first + 1) % repeatMost
-	r.count--
+	r.first++
+	switch {
+	case r.first == len(r.queue):
+		*r = recentEnds{most: r.most}
+	case r.first > len(r.queue)/2:
+		r.queue = r.queue[:copy(r.queue, r.queue[r.first:])]
+		r.first = 0
+	}
 }
 
 // noteRefused remembers a message that was not taken on, so that a copy of it on its way is not taken on either.
