An endpoint of another destination, or a discovery that counts anew, is another process

Cause: the engine knew an endpoint by its id and address alone, so that a call that dialled went out after its destination had changed, and waits of the old one bound the new one. A discovery that was started anew was asked for what changed after a revision of the old process.

Change: another destination makes another endpoint. A watch that begins below what the same discovery has told itself ends, and the next one asks for all there is.

Evidence: TestAnEndpointOfAnotherDestinationIsAnotherOne and TestADiscoveryThatCountsAnewIsAskedForAllItHas (one of its three lists told as a change, the whole list never asked for) failed before and pass.

--- a/delivery/list.go
+++ b/delivery/list.go
@@ -11,7 +11,7 @@
 
 // endpoint makes an endpoint of a list's member.
 func (n *Engine) endpoint(m Member) *Endpoint {
-	return &Endpoint{ID: m.ID, Addr: m.Addr, addrs: m.Addrs, zone: m.Zone, shut: make(chan struct{}), base: n.start, wait: n.waitOf(m)}
+	return &Endpoint{ID: m.ID, Addr: m.Addr, addrs: m.Addrs, dest: m.Dest, zone: m.Zone, shut: make(chan struct{}), base: n.start, wait: n.waitOf(m)}
 }
 
 // listed brings the endpoints up to date. Calls that have not written their first byte hear of it by Shut.
@@ -32,7 +32,7 @@
 		}
 		named[m.ID] = true
 		e := n.eps[m.ID]
-		if m.Phase == choice.Ready && (e == nil || e.Addr != m.Addr || !maps.Equal(e.addrs, m.Addrs)) {
+		if m.Phase == choice.Ready && (e == nil || !e.isMember(m)) {
 			n.shut(e)
 			e = n.endpoint(m)
 			if err := claimAll(n, e.claimedAddrs()); err != nil {
@@ -59,6 +59,11 @@
 	return choice.Listed{Whole: l.Complete, Entries: entries}, taken
 }
 
+// isMember tells whether an endpoint is still the one that a list names. At another address, or for another destination, it is another process.
+func (e *Endpoint) isMember(m Member) bool {
+	return e.Addr == m.Addr && maps.Equal(e.addrs, m.Addrs) && e.dest == m.Dest
+}
+
 // told is listed for what the source tells: endpoints that another engine calls are no more than a line in the log.
 func (n *Engine) told(l List) choice.Listed {
 	listed, err := n.listed(l)
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -284,6 +284,7 @@
 	Addr string
 
 	addrs map[string]string
+	dest  int
 	zone  int
 	shut  chan struct{} // closed when it drains or is gone
 	base  time.Time     // what wait counts from, with a reading of the monotonic clock
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -43,6 +43,8 @@
 	errSilent = fmt.Errorf("watch: no line for %v", watchSilence)
 	// errIdleLines says that a watch has lines without end.
 	errIdleLines = fmt.Errorf("watch: over %d lines in %v that tell nothing", mostIdleLines, idleLinesSpan)
+	// errRenumbered says that discovery has told a later revision before: another process is at its address, which counts anew.
+	errRenumbered = errors.New("watch: the revisions are those of another process")
 	// errUnfinished says that an object of a watch has not come whole in its time.
 	errUnfinished = fmt.Errorf("watch: an object is not whole after %v", longestObject)
 )
@@ -59,6 +61,7 @@
 
 	mu       sync.Mutex
 	after    int64         // the revision that was told last
+	itsOwn   bool          // it was told by this discovery, and not by a configuration or by another one
 	standing []*openWatch  // oldest first
 	broke    chan struct{} // holds a token when one that had heard something, and was not the latest, may have ended
 }
@@ -180,7 +183,7 @@
 // pause is the time until the next watch is opened after one has ended with an error. A dial that has reached nobody adds nothing to
 // what discovery has to do.
 func (w *watcher) pause(o *openWatch, err error, asking *fleet.Asking, nodes int) time.Duration {
-	if hasReachedNobody(err) {
+	if hasReachedNobody(err) || errors.Is(err, errRenumbered) {
 		return rand.N(longestRewatch)
 	}
 	w.mu.Lock()
@@ -324,6 +327,9 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return fmt.Errorf("watch: %w", err)
 	}
+	if !r.told && !l.Complete && r.isRenumbered(r.after, l.Revision) {
+		return errRenumbered
+	}
 	older, same := r.told && l.Revision < r.after, r.told && l.Revision == r.after
 	if older {
 		r.log.Warn("a line of the watch came again", "discovery", r.addr, "revision", l.Revision, "after", r.after)
@@ -355,6 +361,18 @@
 	return b.lines <= mostIdleLines
 }
 
+// isRenumbered tells whether the first revision of a watch can't be of the process that told the one which was asked for. Then the next watch asks for the
+// whole list: what changed after a revision of another process is not known to this one.
+func (w *watcher) isRenumbered(asked, revision int64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.itsOwn || revision >= asked || w.after != asked {
+		return false
+	}
+	w.after, w.itsOwn = 0, false
+	return true
+}
+
 // take hands a list on. One of a watch whose place another has taken may be older than what that one has told.
 func (w *watcher) take(o *openWatch, l list) error {
 	w.mu.Lock()
@@ -370,7 +388,7 @@
 	if err := w.tell(l); err != nil {
 		return err
 	}
-	w.after, o.heard = l.Revision, true
+	w.after, w.itsOwn, o.heard = l.Revision, true, true
 	o.told = o.told || len(l.Members) > 0
 	w.endBefore(o)
 	return nil
