An outcome that comes after its call was left to the next life is passed over

What callers saw: a process could end by a nil pointer at the very end of a shutdown, when an undecided call was settled while the end of another one was waited for.

Cause: Engine.Run drops undecided attempts and goes on to take events, which stands and called look up.

--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -44,6 +44,13 @@
 	Attempt
 }
 
+// isOut tells whether an attempt is still this engine's: one that is undecided when the engine ends is left to the next life, and what settles it
+// comes too late.
+func (n *Engine) isOut(a attempt) bool {
+	_, out := n.out[a]
+	return out
+}
+
 // called notes the outcome of a call. Without a record of it, the attempt may have run. One that is undecided stays out until that is
 // settled, or the outcome stands.
 func (n *Engine) called(e *called) choice.Ended {
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -80,9 +80,13 @@
 		case List:
 			events = append(events, n.told(e))
 		case *called:
-			events = append(events, n.called(e))
+			if n.isOut(e.attempt) {
+				events = append(events, n.called(e))
+			}
 		case stood:
-			events = append(events, n.stands(attempt(e)))
+			if n.isOut(attempt(e)) {
+				events = append(events, n.stands(attempt(e)))
+			}
 		case settled:
 			n.acknowledge(e)
 		case choice.Leaving:
