--- a/internal/faults/clients/node_test.go
+++ b/internal/faults/clients/node_test.go
@@ -4,6 +4,8 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
+	"flag"
 	"fmt"
 	"net"
 	"os"
@@ -33,10 +35,17 @@
 	"limits":{"cancel":true,"connIdle":5000,"dialTimeout":1000,"maxAttempts":12,"maxOpen":20000,"maxRetryAfter":300,"retryAfter":true},
 	"tick":5,"weights":"rough"}`
 
+// given is another build to play instead of this one, to compare the two.
+var given = flag.String("clients.program", "", "the program to play; empty for a build of this code")
+
 var program string
 
 func TestMain(m *testing.M) {
+	flag.Parse()
 	os.Exit(func() int {
+		if program = *given; program != "" {
+			return m.Run()
+		}
 		folder, err := os.MkdirTemp("", "clients-")
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
@@ -132,6 +141,23 @@
 	return 0
 }
 
+// processorTime is what the process has used of processors.
+func (p *process) processorTime() time.Duration {
+	p.t.Helper()
+	const userField, systemField, tick = 13, 14, 10 * time.Millisecond // of /proc/PID/stat, counted from 0
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	fields := strings.Fields(string(text))
+	user, err1 := strconv.Atoi(fields[userField])
+	system, err2 := strconv.Atoi(fields[systemField])
+	if err := errors.Join(err1, err2); err != nil {
+		p.t.Fatal(err)
+	}
+	return time.Duration(user+system) * tick
+}
+
 // dial connects a client, with a bound for all that it does.
 func (p *process) dial() (net.Conn, *bufio.Reader) {
 	p.t.Helper()
