Ends are queued in parts that do not move, and lines of a request are not copied

Change: the queue is made of parts of 512. readLine returns the reader's own bytes; only an inline command, whose words outlive the next read, is copied.

FuzzReadCommand for 8 s found nothing.

--- a/delivery/repeats.go
+++ b/delivery/repeats.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/maphash"
+	"slices"
 	"time"
 )
 
@@ -21,8 +22,7 @@
 type recentEnds struct {
 	seed  maphash.Seed
 	known map[uint64]knownEnd
-	queue []recentEnd // oldest first, from first on
-	first int
+	queue endQueue
 	most  int // 0 for repeatMost
 }
 
@@ -43,7 +43,7 @@
 	if _, known := r.look(name, now); known {
 		return
 	}
-	if len(r.queue)-r.first >= cmp.Or(r.most, repeatMost) {
+	if r.queue.count >= cmp.Or(r.most, repeatMost) {
 		r.drop()
 	}
 	if r.known == nil {
@@ -51,7 +51,7 @@
 	}
 	digest := maphash.String(r.seed, name)
 	r.known[digest] = end
-	r.queue = append(r.queue, recentEnd{digest, now})
+	r.queue.push(recentEnd{digest, now})
 }
 
 // look tells whether a message ended within repeatMemory, and how.
@@ -66,21 +66,49 @@
 
 // expire drops what ended longer ago than repeatMemory.
 func (r *recentEnds) expire(now time.Duration) {
-	for r.first < len(r.queue) && now-r.queue[r.first].at > repeatMemory {
+	for r.queue.count > 0 && now-r.queue.oldest().at > repeatMemory {
 		r.drop()
 	}
 }
 
-// drop drops the oldest. What it leaves of the queue is moved once half of it is empty, and the room of many goes with the last.
+// drop drops the oldest. The room of many goes with the last.
 func (r *recentEnds) drop() {
-	delete(r.known, r.queue[r.first].name)
-	r.first++
-	switch {
-	case r.first == len(r.queue):
+	delete(r.known, r.queue.oldest().name)
+	if r.queue.pop(); r.queue.count == 0 {
 		*r = recentEnds{most: r.most}
-	case r.first > len(r.queue)/2:
-		r.queue = r.queue[:copy(r.queue, r.queue[r.first:])]
-		r.first = 0
+	}
+}
+
+// chunkEnds is how many ends a part of a queue holds.
+const chunkEnds = 512
+
+// endQueue holds ends, oldest first, in parts that are neither moved nor made larger: a queue that grows by being copied costs several times its room. The
+// zero value is empty.
+type endQueue struct {
+	chunks [][]recentEnd // all but the last are full
+	first  int           // of the first chunk, what is still there begins here
+	count  int
+}
+
+func (q *endQueue) push(e recentEnd) {
+	last := len(q.chunks) - 1
+	if last < 0 || len(q.chunks[last]) == chunkEnds {
+		q.chunks = append(q.chunks, make([]recentEnd, 0, chunkEnds))
+		last++
+	}
+	q.chunks[last] = append(q.chunks[last], e)
+	q.count++
+}
+
+// oldest returns the oldest end of a queue that holds one.
+func (q *endQueue) oldest() recentEnd { return q.chunks[0][q.first] }
+
+// pop drops the oldest end of a queue that holds one.
+func (q *endQueue) pop() {
+	q.count--
+	if q.first++; q.first == chunkEnds {
+		q.chunks = slices.Delete(q.chunks, 0, 1)
+		q.first = 0
 	}
 }
 
--- a/internal/node/resp.go
+++ b/internal/node/resp.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"strconv"
-	"strings"
 )
 
 // The reader below is our own: redcon v1.6.4 indexes out of its buffer on a bulk length near the largest
@@ -35,11 +34,14 @@
 		if err != nil {
 			return nil, err
 		}
-		args := bytes.Fields(line)
+		var args [][]byte
 		if len(line) > 0 && line[0] == '*' {
-			if args, err = readArray(r, line[1:], room); err != nil {
-				return nil, err
-			}
+			args, err = readArray(r, line[1:], room)
+		} else {
+			args = bytes.Fields(bytes.Clone(line))
+		}
+		if err != nil {
+			return nil, err
 		}
 		if len(args) > 0 {
 			return args, nil
@@ -164,6 +166,7 @@
 	return err
 }
 
+// readLine reads a line and returns it without its end. It is valid until the next read.
 func readLine(r *bufio.Reader) ([]byte, error) {
 	line, err := r.ReadSlice('\n')
 	if errors.Is(err, bufio.ErrBufferFull) || (err == nil && len(line) > maxLine) {
@@ -175,5 +178,5 @@
 		}
 		return nil, err
 	}
-	return []byte(strings.TrimRight(string(line), "\r\n")), nil
+	return bytes.TrimRight(line, lineEnd), nil
 }
