Rigs build the program in one place, and a name's digest is made once an end

Need: a reading of the whole change found three rigs with the same build of the program, three counts of what ran more than once, and a digest of an id that was computed twice for each message that ends.

Change: faults.Build is buildOverlaid without overlays, and serves the rigs of faults, soak and clients. moreThanOnce serves the tests of clients. The seed of digests is the process's, so that recentEnds has no seed of its own to make and to check. session.rest, beside clients.rest which does something else, is awaitBudget. Behaviour, bounds and assertions are as before.

--- a/delivery/repeats.go
+++ b/delivery/repeats.go
@@ -17,10 +17,12 @@
 	repeatMost = 1 << 16
 )
 
+// nameSeed is of the digests of messages' names in this process.
+var nameSeed = maphash.MakeSeed()
+
 // recentEnds remembers the messages that ended, or were refused, a short while ago, by front and id as ref has them. Names stand as digests, so that many
 // take little room. The zero value is ready; it is for one goroutine.
 type recentEnds struct {
-	seed  maphash.Seed
 	known map[uint64]knownEnd
 	queue endQueue
 	most  int // 0 for repeatMost
@@ -40,16 +42,17 @@
 
 // add notes that a message has ended now, and how.
 func (r *recentEnds) add(name string, end knownEnd, now time.Duration) {
-	if _, known := r.look(name, now); known {
+	r.expire(now)
+	digest := maphash.String(nameSeed, name)
+	if _, known := r.known[digest]; known {
 		return
 	}
 	if r.queue.count >= cmp.Or(r.most, repeatMost) {
 		r.drop()
 	}
 	if r.known == nil {
-		r.known, r.seed = map[uint64]knownEnd{}, maphash.MakeSeed()
+		r.known = map[uint64]knownEnd{}
 	}
-	digest := maphash.String(r.seed, name)
 	r.known[digest] = end
 	r.queue.push(recentEnd{digest, now})
 }
@@ -57,10 +60,7 @@
 // look tells whether a message ended within repeatMemory, and how.
 func (r *recentEnds) look(name string, now time.Duration) (end knownEnd, known bool) {
 	r.expire(now)
-	if len(r.known) == 0 {
-		return end, false
-	}
-	end, known = r.known[maphash.String(r.seed, name)]
+	end, known = r.known[maphash.String(nameSeed, name)]
 	return end, known
 }
 
--- a/internal/faults/clients/address_test.go
+++ b/internal/faults/clients/address_test.go
@@ -112,10 +112,8 @@
 					t.Errorf("%s went to the new process %v after it was listed", call.id, late)
 				}
 			}
-			for id, count := range runs {
-				if count > 1 {
-					t.Errorf("%s ran %d times", id, count)
-				}
+			for _, id := range moreThanOnce(runs) {
+				t.Errorf("%s ran %d times", id, runs[id])
 			}
 			if reached == 0 {
 				t.Error("the new process got nothing of its own")
--- a/internal/faults/clients/leave_test.go
+++ b/internal/faults/clients/leave_test.go
@@ -40,17 +40,10 @@
 			}
 			all.Wait()
 			time.Sleep(4 * time.Second) // the longest that a message lives
-			twice := 0
-			for id, runs := range p.endpoint.Runs() {
-				if runs > 1 {
-					if twice++; twice < 5 {
-						t.Logf("%s ran %d times", id, runs)
-					}
-				}
-			}
+			twice := moreThanOnce(p.endpoint.Runs())
 			t.Logf("%d ids ran, %d notices", len(p.endpoint.Runs()), len(p.discovery.Notices()))
-			if twice > 0 {
-				t.Errorf("%d of %d payouts ran twice", twice, rounds*burst)
+			if len(twice) > 0 {
+				t.Errorf("%d of %d payouts ran twice, among them %s", len(twice), rounds*burst, twice[0])
 			}
 		})
 	}
--- a/internal/faults/clients/node_test.go
+++ b/internal/faults/clients/node_test.go
@@ -4,6 +4,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"flag"
 	"fmt"
@@ -17,6 +18,7 @@
 	"testing"
 	"time"
 
+	"starlingusher/internal/faults"
 	"starlingusher/internal/standin"
 )
 
@@ -52,9 +54,8 @@
 			return 1
 		}
 		defer os.RemoveAll(folder)
-		program = filepath.Join(folder, "coralyard")
-		if out, err := exec.Command("go", "build", "-o", program, "starlingusher/cmd/coralyard").CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "%s: %v\n", out, err)
+		if program, err = faults.Build(context.Background(), folder); err != nil {
+			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
 		return m.Run()
@@ -172,6 +173,16 @@
 	return c, bufio.NewReader(c)
 }
 
+// moreThanOnce are the ids that ran more than once.
+func moreThanOnce(runs map[string]int) (ids []string) {
+	for id, count := range runs {
+		if count > 1 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // enqueue is the command that hands a message in.
 func enqueue(id, class string, life time.Duration, body string) string {
 	return standin.Command("ENQUEUE", "0", id, fmt.Sprintf("c=%s,d=%d,dest=%d", class, life.Milliseconds(), partner), body)
--- a/internal/faults/clients/sound_test.go
+++ b/internal/faults/clients/sound_test.go
@@ -64,12 +64,8 @@
 				time.Sleep(10 * time.Millisecond)
 			}
 			time.Sleep(4 * time.Second) // calls that are sent again
-			runs, twice := p.endpoint.Runs(), 0
-			for _, count := range runs {
-				if count > 1 {
-					twice++
-				}
-			}
+			runs := p.endpoint.Runs()
+			twice := len(moreThanOnce(runs))
 			failed := map[string]bool{} // a notice may come twice
 			for _, n := range p.discovery.Notices() {
 				failed[n.ID] = true
--- a/internal/faults/clocks.go
+++ b/internal/faults/clocks.go
@@ -83,6 +83,11 @@
 	return buildOverlaid(ctx, folder, clockOverlay, callOverlay)
 }
 
+// Build builds the program into a folder, and returns its path.
+func Build(ctx context.Context, folder string) (program string, err error) {
+	return buildOverlaid(ctx, folder)
+}
+
 // buildOverlaid builds the program with some files of the standard library replaced. An overlay is told the root of the Go tool
 // chain, and returns the texts of files by their paths.
 func buildOverlaid(ctx context.Context, folder string, overlays ...func(root string) (map[string]string, error)) (program string, err error) {
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -23,10 +23,8 @@
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(folder, "coralyard")
-	build := exec.Command("go", "build", "-o", program, "starlingusher/cmd/coralyard")
-	if out, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", out, err)
+	if program, err = Build(context.Background(), folder); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 	code := m.Run()
--- a/internal/faults/soak/soak_test.go
+++ b/internal/faults/soak/soak_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -32,9 +31,8 @@
 			return 1
 		}
 		defer os.RemoveAll(folder)
-		program = filepath.Join(folder, "coralyard")
-		if out, err := exec.Command("go", "build", "-o", program, "starlingusher/cmd/coralyard").CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "%s: %v\n", out, err)
+		if program, err = faults.Build(context.Background(), folder); err != nil {
+			fmt.Fprintln(os.Stderr, err)
 			return 1
 		}
 		overlaid := filepath.Join(folder, "failing")
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -121,8 +121,8 @@
 	s.pause = s.pace.spend(time.Now(), units)
 }
 
-// rest has a client that is over its budget wait, once it has its answers, unless the node stops.
-func (s *session) rest(stop <-chan struct{}) error {
+// awaitBudget has a client that is over its budget wait, once it has its answers, unless the node stops.
+func (s *session) awaitBudget(stop <-chan struct{}) error {
 	if s.pause == 0 {
 		return nil
 	}
@@ -313,7 +313,7 @@
 	}()
 	r := bufio.NewReaderSize(s, 4096)
 	for {
-		if err := s.rest(c.stop); err != nil {
+		if err := s.awaitBudget(c.stop); err != nil {
 			reason = "the answer can't be written: " + err.Error()
 			return
 		}
