--- a/internal/faults/clients/node_test.go
+++ b/internal/faults/clients/node_test.go
@@ -73,6 +73,16 @@
 }
 
 func start(t *testing.T, limits standin.Limits, script standin.Script) *process {
+	t.Helper()
+	endpoint, err := standin.NewHTTP(script, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startAt(t, limits, endpoint)
+}
+
+// startAt starts a node whose one endpoint is the one given, and is closed with the test.
+func startAt(t *testing.T, limits standin.Limits, endpoint *standin.HTTP) *process {
 	t.Helper()
 	must := func(err error) {
 		t.Helper()
@@ -80,10 +90,8 @@
 			t.Fatal(err)
 		}
 	}
-	p := &process{t: t}
+	p := &process{t: t, endpoint: endpoint}
 	var err error
-	p.endpoint, err = standin.NewHTTP(script, nil)
-	must(err)
 	t.Cleanup(p.endpoint.Close)
 	p.discovery, err = standin.NewDiscovery()
 	must(err)
@@ -103,17 +111,38 @@
 	p.cmd.Stderr = &p.log
 	must(p.cmd.Start())
 	t.Cleanup(p.stop)
+	p.awaitClients()
+	return p
+}
+
+// awaitClients waits until the process takes clients.
+func (p *process) awaitClients() {
+	p.t.Helper()
 	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
 		if c, err := net.Dial("tcp", p.addr); err == nil {
 			c.Close()
-			return p
+			return
 		}
 		if time.Now().After(end) {
-			t.Fatalf("the node takes no clients:\n%s", p.log.String())
+			p.t.Fatalf("the node takes no clients:\n%s", p.log.String())
 		}
 	}
 }
 
+// replace ends the process by a signal, and starts another one in its folder.
+func (p *process) replace(signal os.Signal) {
+	p.t.Helper()
+	p.cmd.Process.Signal(signal)
+	p.cmd.Wait() // a kill is no success
+	next := exec.Command(program)
+	next.Env, next.Stderr = p.cmd.Env, p.cmd.Stderr
+	p.cmd = next
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.awaitClients()
+}
+
 // stop ends the process as the platform does, and fails the test if it has ended by itself.
 func (p *process) stop() {
 	p.cmd.Process.Signal(syscall.SIGTERM)
