The log names the connection, the request's number on it and the status of each failed call

`attempt ended` has `connection`, `request` and `status` now, and `attempt undecided` is written for each response, other than a pass, that may be another call's. Passes stay unlogged: at 2,000 a second each undecided one would be a line. `same` in the tests of calls compares no numbers of connections, as it compares no words of errors.

--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -65,6 +65,7 @@
 		n.toldWait(m, e)
 	}
 	if e.Undecided {
+		n.logUndecided(m, e)
 		out.undecided = e
 		n.out[e.attempt] = out
 		n.unsettled++
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -48,6 +48,8 @@
 	HungUp bool          // the partner closes the connection after its answer
 	Report choice.Report
 	Heard  time.Time // when the answer began, if that is known; it may take its time from there on
+	// On is where the response came.
+	On Exchange
 	// Undecided says that the answer may be another call's. The slot is free; what became of the message is told by Attempt.Settle.
 	Undecided bool
 
@@ -57,6 +59,13 @@
 	Err     error // what the partner or the network said, in words
 }
 
+// Exchange names a request and its response, for the log. The zero value is of a carrier that does not number them.
+type Exchange struct {
+	Connection uint64 // among all of the carrier
+	Number     int    // among the requests on it, from 1
+	Status     int    // of the response; 0 for none that could be read
+}
+
 // outcome is what the module may believe. That nothing ran takes a proof, and a proof counts whatever ended the call.
 func (r Result) outcome() choice.Outcome {
 	switch r.Outcome {
--- a/delivery/signals.go
+++ b/delivery/signals.go
@@ -17,6 +17,7 @@
 	}
 	attrs := []any{"message", m.id, "destination", m.dest, "endpoint", e.endpoint.ID, "attempt", e.n, "outcome", outcome.String(),
 		"failure", ominous, "took", e.took.Round(time.Microsecond), "kept_connection", e.Kept}
+	attrs = append(attrs, e.On.attrs()...)
 	if e.Wait > 0 {
 		attrs = append(attrs, "told_wait", e.Wait)
 	}
@@ -26,6 +27,23 @@
 	n.log.Info("attempt ended", attrs...)
 }
 
+// attrs are the attributes of a line that tells of an exchange; none where the carrier does not number them.
+func (x Exchange) attrs() []any {
+	if x.Connection == 0 {
+		return nil
+	}
+	return []any{"connection", x.Connection, "request", x.Number, "status", x.Status}
+}
+
+// logUndecided logs a response, other than a pass, that may be another call's.
+func (n *Engine) logUndecided(m *past, e *called) {
+	if e.Outcome == choice.Pass {
+		return
+	}
+	attrs := []any{"message", m.id, "destination", m.dest, "endpoint", e.endpoint.ID, "attempt", e.n, "outcome", e.Outcome.String()}
+	n.log.Info("attempt undecided", append(attrs, e.On.attrs()...)...)
+}
+
 // logHealth logs changes of the health of routes.
 func (n *Engine) logHealth(changes []choice.HealthChange) {
 	for _, c := range changes {
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -96,9 +96,10 @@
 	return delivery.Attempt{ID: "9b1f03aa5c7e2d41", Key: "5c0f", Body: []byte("body\x00"), Endpoint: e, NotPast: time.Now().Add(patience)}
 }
 
-// same compares results but for what they say in words.
+// same compares results but for what they say in words, and for the log.
 func same(a, b delivery.Result) bool {
 	a.Err, b.Err = nil, nil
+	a.On, b.On = delivery.Exchange{}, delivery.Exchange{}
 	return reflect.DeepEqual(a, b)
 }
 
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -21,6 +21,7 @@
 // where a watch that had to be called back and a read of the call's own cost one more each.
 type conn struct {
 	net.Conn
+	number         uint64 // among all of the pool
 	endpoint, addr string
 	limit          *io.LimitedReader
 	br             *bufio.Reader
@@ -34,6 +35,7 @@
 	call      *call     // whose response is awaited
 	undecided *call     // whose response, the one that came last, may be a copy; nil for none
 	previous  *call     // that was undecided when the call went out: the next response tells of it
+	requests  int       // that went out
 	gone      bool      // nothing more comes of it
 	last      *call     // that went out on it
 	heard     time.Time // when the last response came; zero for none yet
@@ -55,13 +57,21 @@
 	settle func(*delivery.Result) // of a call with one message: see delivery.Attempt
 	done   func(*answer)          // takes the place of settling; nil for no such
 
-	sending bool // the first byte may have gone out; under the connection's lock
+	sending bool              // the first byte may have gone out; under the connection's lock
+	on      delivery.Exchange // likewise; without a status
 	sentAt  time.Time
 }
 
 // newCall is a call that has no connection yet.
 func newCall(request []byte) *call { return &call{request: request, end: make(chan callEnd, 1)} }
 
+// exchanged names the exchange, with the status of the response that came; 0 for none.
+func (x *call) exchanged(status int) delivery.Exchange {
+	on := x.on
+	on.Status = status
+	return on
+}
+
 // onAnother is the same request for another connection: the reader of the one before has nothing of it.
 func (x *call) onAnother() *call {
 	next := newCall(x.request)
@@ -86,7 +96,7 @@
 // settled gives an undecided call its final answer; nil if the one that came stands.
 func (x *call) settled(a *answer) {
 	if a != nil {
-		a.result.Kept = true
+		a.result.Kept, a.result.On = true, x.exchanged(a.result.On.Status)
 	}
 	switch {
 	case x.done != nil:
@@ -208,7 +218,9 @@
 	if k.gone {
 		return false
 	}
+	k.requests++
 	x.sending, k.last = true, x
+	x.on = delivery.Exchange{Connection: k.number, Number: k.requests}
 	return true
 }
 
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"starlingusher/choice"
@@ -48,6 +49,8 @@
 	restFor time.Duration // until a connection that had a response takes another call, where responses may be alike
 	log     *slog.Logger
 
+	connections atomic.Uint64 // that were made
+
 	mu         sync.Mutex
 	idle       map[string][]*conn // by endpoint; the last one was used last
 	size       int                // of idle
@@ -148,6 +151,7 @@
 			p.release(x, k, end.reuse && inTime && stopped)
 		}
 		a := x.answer
+		a.result.On = x.exchanged(a.result.On.Status)
 		a.result.Kept, a.result.Undecided = kept, end.undecided
 		return a, k
 	}
@@ -170,6 +174,7 @@
 	}
 	c.Times.Connect()
 	k = newConn(nc, c.Endpoint.ID, c.Endpoint.Addr)
+	k.number = p.connections.Add(1)
 	if !k.begin(x, p.restFor) {
 		k.Close()
 		return nil, false, fmt.Errorf("a new connection: %w", net.ErrClosed)
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -78,6 +78,7 @@
 		}
 		if code >= http.StatusOK {
 			r.status, r.result.Heard = code, heard
+			r.result.On.Status = code
 			return r, nil
 		}
 	}
