A message that its endpoint may have said to be over is not called again

Cause: a response in doubt became "may have run" (pool.unproven, received, broken, call.followed), and so did one that came spoilt (readResponse dropped its first line). What may be repeated is then called again: lawful if the truth is silence, 500 or 200, a broken rule if it is 410. At a sound endpoint the last 410 of each row of equal responses on a connection is in doubt. Class: a step in doubt that is lawful under some of the open explanations only.

TestSpoiltAnswers and TestFatesOfACallWithSeveral ask for the replies beside what they asked for.

A sound endpoint that mixes 410s with 200s still has up to 5% of its delivered messages reported as failed, for want of proof (its issue).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -215,8 +215,9 @@
 	m, d := s.take(e.Arrived, e.Spare)
 	m.attempts, m.touched = e.Attempts, e.Touched && m.class.Effect != Safe
 	m.mayRun, m.zone = e.MayRun, e.Zone
+	m.mayBeOver = e.MayBeOver
 	late := m.touched && m.class.Effect == Keyed && s.now >= s.windowEnd(m)
-	if (m.touched && m.class.Effect == Unsafe) || late || s.spent(m) {
+	if m.mayBeOver || (m.touched && m.class.Effect == Unsafe) || late || s.spent(m) {
 		s.giveUp(m)
 		return
 	}
@@ -258,6 +259,9 @@
 
 // mayRefuse tells whether a refusal promises the truth, that coming again is harmless.
 func (s *Sender) mayRefuse(m *message) bool {
+	if m.mayBeOver {
+		return false
+	}
 	if m.class.Effect == Safe || (m.out == 0 && !m.touched) {
 		return true
 	}
@@ -401,6 +405,7 @@
 	if ran && m.class.Effect != Safe && (!m.touched || c.sentAt < m.mayRun) {
 		m.touched, m.mayRun, m.zone = true, c.sentAt, c.ep.zone
 	}
+	m.mayBeOver = m.mayBeOver || (!e.Closed && e.Replies.Has(ReplyOver))
 	if ran && e.Outcome != Fault && m.key != "" {
 		s.restKey(m.key)
 	}
@@ -412,7 +417,7 @@
 	case e.Closed || e.Outcome == Pass:
 		s.finish(m, nil)
 	case m.out > 0: // another copy is out and may still pass
-	case s.now >= m.dropDead-s.t.EndMargin, ran && m.class.Effect == Unsafe, s.spent(m):
+	case s.now >= m.dropDead-s.t.EndMargin, m.mayBeOver, e.inDoubt(ran).Next(m.class.Effect) == EndOnly, s.spent(m):
 		s.giveUp(m)
 	default:
 		if !e.worn() && (ran || e.Outcome == NoRoute) {
@@ -423,6 +428,14 @@
 	}
 }
 
+// inDoubt are the replies that an attempt may have had which did not pass. One that is proven not to have run has only those it names.
+func (e Ended) inDoubt(ran bool) Replies {
+	if !ran {
+		return e.Replies | RepliesOf(ReplyRefused)
+	}
+	return e.Replies | RepliesOf(ReplyNone)
+}
+
 func (s *Sender) spent(m *message) bool {
 	return s.cfg.MaxAttempts > 0 && m.attempts >= s.cfg.MaxAttempts
 }
--- a/choice/resume_test.go
+++ b/choice/resume_test.go
@@ -32,6 +32,7 @@
 		{"safe, may have run", safe, 5 * time.Second, Resumed{Attempts: 1, Touched: true, MayRun: now - time.Second}, "send"},
 		{"keyed, inside its window", keyed, 5 * time.Second, Resumed{Attempts: 1, Touched: true, MayRun: now - window/2}, "send"},
 		{"keyed, past its window", keyed, 5 * time.Second, Resumed{Attempts: 1, Touched: true, MayRun: now - window}, "fail"},
+		{"safe, may be over", safe, 5 * time.Second, Resumed{Attempts: 1, Touched: true, MayBeOver: true, MayRun: now - time.Second}, "fail"},
 		{"unsafe, held", unsafe, 5 * time.Second, Resumed{}, "send"},
 		{"unsafe, never ran", unsafe, 5 * time.Second, Resumed{Attempts: 1}, "send"},
 		{"unsafe, may have run", unsafe, 5 * time.Second, Resumed{Attempts: 1, Touched: true, MayRun: now - time.Second}, "fail"},
--- a/choice/state.go
+++ b/choice/state.go
@@ -184,6 +184,7 @@
 	notBefore time.Duration
 	waits     bool
 	over      bool
+	mayBeOver bool   // an endpoint may have said that nobody wants it any more
 	seq       uint64 // in order of arrival; 0 until it is held
 	size      int    // bytes that it takes in a call with several
 	look      time.Duration
--- a/choice/types.go
+++ b/choice/types.go
@@ -171,11 +171,13 @@
 // Resumed is a message that the node took on before its process ended, and whose end it still owes.
 type Resumed struct {
 	Arrived
-	Attempts int           // attempts used so far
-	Failed   bool          // one of them is known to have failed
-	Touched  bool          // one of them may have run,
-	MayRun   time.Duration // and the first of these was sent then,
-	Zone     int           // to an endpoint of this zone
+	Attempts int  // attempts used so far
+	Failed   bool // one of them is known to have failed
+	// MayBeOver says that one of them may have been answered that the message is over.
+	MayBeOver bool
+	Touched   bool          // one of them may have run,
+	MayRun    time.Duration // and the first of these was sent then,
+	Zone      int           // to an endpoint of this zone
 	// Spare says that it ended undelivered before and is sent again: the gate is asked, it goes only where nothing
 	// else waits, and it takes no room from the others. A PushBack before its first Send says nothing of its past.
 	Spare bool
@@ -195,6 +197,8 @@
 	Wait     time.Duration // the wait told
 	NoSlot   bool          // Stale: all slots were taken
 	Report   Report
+	// Replies are those that the attempt may have had, where that can't be told; of an Undecided one, the reply that came.
+	Replies Replies
 
 	Undecided, Settled bool
 }
--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -64,6 +64,7 @@
 	if e.Wait > 0 {
 		n.toldWait(m, e)
 	}
+	n.noteReplies(m, e)
 	if e.Undecided {
 		n.logUndecided(m, e)
 		out.undecided = e
@@ -75,6 +76,17 @@
 	return ended
 }
 
+// noteReplies journals that an attempt may have been answered that its message is over, or that it was not after all: a next life must not send such
+// a message again.
+func (n *Engine) noteReplies(m *past, e *called) {
+	if e.n >= len(m.sends) || (e.Closed && !e.Undecided) {
+		return // the message has ended, or ends now
+	}
+	if noted := &m.sends[e.n]; noted.mayBeOver != e.Replies.Has(choice.ReplyOver) {
+		m.home.add(repliesRecord(m.seq, e.n, e.Replies))
+	}
+}
+
 // stands notes that the outcome of an undecided attempt stands.
 func (n *Engine) stands(a attempt) choice.Stood {
 	out := n.out[a]
@@ -87,6 +99,7 @@
 	return choice.Ended{
 		ID: m.name(), Attempt: e.n, Endpoint: e.endpoint.ID, Outcome: e.outcome(), Took: e.took, Closed: e.Closed,
 		Wait: e.Wait, NoSlot: e.NoSlot, Report: e.Report, Kept: e.Kept, HungUp: e.HungUp, Undecided: e.Undecided,
+		Replies: e.Replies,
 	}
 }
 
--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -244,7 +244,7 @@
 		l.Wait = time.Time{}
 	}
 	for _, s := range p.sends {
-		tried := Tried{s.at, s.endpoint, s.zone, s.outcome, s.known, s.notRun, s.err}
+		tried := Tried{At: s.at, Endpoint: s.endpoint, Zone: s.zone, Outcome: s.outcome, Known: s.known, NotRun: s.notRun, MayBeOver: s.mayBeOver, Err: s.err}
 		if s.isUnknown(now) {
 			tried.Err = unknownAttempt
 		}
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -457,6 +457,7 @@
 	}
 	for _, s := range p.sends {
 		r.Failed = r.Failed || s.failed
+		r.MayBeOver = r.MayBeOver || s.mayBeOver
 		if at := max(n.at(s.at), 1); !s.notRun && (!r.Touched || at < r.MayRun) {
 			r.Touched, r.MayRun, r.Zone = true, at, s.zone
 		}
--- a/delivery/journal.go
+++ b/delivery/journal.go
@@ -34,6 +34,7 @@
 	recChain                      // how far the chain of copies had come before the records that follow; likewise
 	recOutage                     // the health of a route; likewise
 	recClock                      // a stamp beside the machine's clock; likewise
+	recReplies                    // what an attempt may have been answered; the last one counts; likewise
 )
 
 // MaxBody is how many bytes a message's body holds at most.
@@ -106,6 +107,7 @@
 	zone           int
 	endpoint       string // if that is noted
 	notRun, failed bool
+	mayBeOver      bool // it may have been answered that the message is over
 
 	// Of this process only.
 	known   bool
@@ -353,6 +355,12 @@
 			p.sends[n].failed = true
 			j.grow(p, payload)
 		}
+	case recReplies:
+		n, replies := f.number(), choice.Replies(f.number())
+		if !f.bad && n < uint64(len(p.sends)) {
+			p.sends[n].mayBeOver = replies.Has(choice.ReplyOver)
+			j.grow(p, payload)
+		}
 	case recEnded:
 		e := &ending{state: State(f.number()), after: time.Duration(f.number()) * time.Millisecond}
 		if len(f.b) > 0 {
@@ -536,6 +544,9 @@
 			case s.failed:
 				put(outcomeRecord(recFailed, p.seq, i))
 			}
+			if s.mayBeOver {
+				put(repliesRecord(p.seq, i, choice.RepliesOf(choice.ReplyOver)))
+			}
 		}
 		if p.ended != nil {
 			put(endedRecord(p.seq, *p.ended))
--- a/delivery/records.go
+++ b/delivery/records.go
@@ -7,6 +7,8 @@
 	"hash/crc32"
 	"io"
 	"time"
+
+	"starlingusher/choice"
 )
 
 // This file reads and writes the records of the journal.
@@ -185,6 +187,11 @@
 	return binary.AppendUvarint(record(kind, seq), uint64(attempt))
 }
 
+// repliesRecord is of what an attempt may have been answered.
+func repliesRecord(seq uint64, attempt int, replies choice.Replies) []byte {
+	return binary.AppendUvarint(outcomeRecord(recReplies, seq, attempt), uint64(replies))
+}
+
 func endedRecord(seq uint64, e ending) []byte {
 	b := binary.AppendUvarint(record(recEnded, seq), uint64(e.state))
 	b = binary.AppendUvarint(b, uint64(e.after/time.Millisecond))
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -48,6 +48,8 @@
 	HungUp bool          // the partner closes the connection after its answer
 	Report choice.Report
 	Heard  time.Time // when the answer began, if that is known; it may take its time from there on
+	// Replies are those that the message may have had, where that can't be told: it is then never sent again if one of them says that it is over.
+	Replies choice.Replies
 	// On is where the response came.
 	On Exchange
 	// Undecided says that the answer may be another call's. The slot is free; what became of the message is told by Attempt.Settle.
@@ -237,13 +239,14 @@
 
 // Tried is one attempt that was made.
 type Tried struct {
-	At       time.Time
-	Endpoint string // empty if the attempt was made by a build that did not note it
-	Zone     int
-	Outcome  choice.Outcome // if Known
-	Known    bool           // false for one whose process ended, or whose call is still out
-	NotRun   bool           // proven not to have run, and never to run
-	Err      string         // what it met, in words
+	At        time.Time
+	Endpoint  string // empty if the attempt was made by a build that did not note it
+	Zone      int
+	Outcome   choice.Outcome // if Known
+	Known     bool           // false for one whose process ended, or whose call is still out
+	NotRun    bool           // proven not to have run, and never to run
+	MayBeOver bool           // its endpoint may have said that nobody wants the message any more
+	Err       string         // what it met, in words
 }
 
 // Lost is a message that ends undelivered, with all that is known of it.
--- a/delivery/signals.go
+++ b/delivery/signals.go
@@ -18,6 +18,9 @@
 	attrs := []any{"message", m.id, "destination", m.dest, "endpoint", e.endpoint.ID, "attempt", e.n, "outcome", outcome.String(),
 		"failure", ominous, "took", e.took.Round(time.Microsecond), "kept_connection", e.Kept}
 	attrs = append(attrs, e.On.attrs()...)
+	if e.Replies != 0 {
+		attrs = append(attrs, "may_be_over", e.Replies.Has(choice.ReplyOver))
+	}
 	if e.Wait > 0 {
 		attrs = append(attrs, "told_wait", e.Wait)
 	}
--- a/delivery/undecided_test.go
+++ b/delivery/undecided_test.go
@@ -79,3 +79,53 @@
 		t.Errorf("%d messages are owed", len(owed))
 	}
 }
+
+// Guards against a next life that sends a message again which its endpoint said is over, or gives one up of which that turned out not to be so.
+func TestTheNextLifeKnowsWhatMayBeOver(t *testing.T) {
+	corrected := &Result{Outcome: choice.NoRoom, NotRun: true, Kept: true, Wait: time.Hour}
+	for name, c := range map[string]struct {
+		final     *Result
+		compact   bool
+		mayBeOver bool
+	}{
+		"undecided":            {nil, false, true},
+		"undecided, compacted": {nil, true, true},
+		"refused after all":    {corrected, false, false},
+		"refused, compacted":   {corrected, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var settle func(*Result)
+			n := bare(t, newCarrier(func(_ context.Context, a Attempt) Result {
+				settle = a.Settle
+				return Result{Outcome: choice.Stale, NotRun: true, Closed: true, Kept: true, Undecided: true, Replies: choice.RepliesOf(choice.ReplyOver)}
+			}), at(t, "e", 7))
+			a := n.handIn("a", 50*time.Second)
+			n.take(t.Context(), []any{a})
+			<-a.reply
+			n.take(t.Context(), []any{<-n.events})
+			if c.final != nil {
+				settle(c.final)
+				n.take(t.Context(), []any{<-n.events})
+			}
+			if c.compact {
+				if err := n.journal.compact(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			close(n.quit)
+			n.calls.Wait()
+			if err := n.Close(); err != nil {
+				t.Fatal(err)
+			}
+			owed := openTest(t, n.cfg.State, 3).live
+			if len(owed) != 1 {
+				t.Fatalf("%d messages are owed", len(owed))
+			}
+			for _, p := range owed {
+				if p.sends[0].mayBeOver != c.mayBeOver {
+					t.Errorf("%+v", p.sends)
+				}
+			}
+		})
+	}
+}
--- a/internal/faults/clients/over_test.go
+++ b/internal/faults/clients/over_test.go
@@ -133,7 +133,7 @@
 				}
 				hand(4)
 			}
-			ended := func() (without int) {
+			ended := func() (without, falsely int) {
 				notices := map[string]bool{}
 				for _, n := range p.discovery.Notices() {
 					notices[n.ID] = true
@@ -145,17 +145,22 @@
 					if _, over := server.over[id]; !over && !server.delivered[id] && !notices[id] {
 						without++
 					}
+					if server.delivered[id] && notices[id] {
+						falsely++
+					}
 				}
-				return without
+				return without, falsely
 			}
-			for end := time.Now().Add(patience); ended() > 0 && time.Now().Before(end); {
-				time.Sleep(20 * time.Millisecond)
+			for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				if without, _ := ended(); without == 0 {
+					break
+				}
 			}
 			time.Sleep(2 * time.Second) // calls that are made again
-			without := ended()
+			without, falsely := ended()
 			server.mu.Lock()
 			defer server.mu.Unlock()
-			t.Logf("%d taken on, %d over, %d of them called again, %d delivered, %d notices", taken, len(server.over), len(server.again), len(server.delivered), len(p.discovery.Notices()))
+			t.Logf("%d taken on, %d over, %d of them called again, %d delivered, %d of them reported as failed", taken, len(server.over), len(server.again), len(server.delivered), falsely)
 			if len(server.again) > 0 || without > 0 || len(server.over) < 100 {
 				t.Errorf("%d of %d messages that were over were called again, %d messages have no end", len(server.again), len(server.over), without)
 			}
--- a/internal/node/batches.go
+++ b/internal/node/batches.go
@@ -96,6 +96,7 @@
 		if results[i] = a.result; a.states != nil {
 			results[i] = stateOf(a.result, a.states[c.ID])
 		}
+		results[i].Replies |= a.may[c.ID]
 	}
 	return results
 }
@@ -129,8 +130,8 @@
 	}
 	states = make(map[string]string, len(told))
 	for _, s := range told {
-		if _, twice := states[s.ID]; twice {
-			s.State = ""
+		if before, twice := states[s.ID]; twice {
+			s.State = ambiguousState(before, s.State)
 		}
 		states[s.ID] = s.State
 	}
@@ -138,6 +139,17 @@
 	return states, named, nil
 }
 
+// overOrAnother is the state of a message that a response says to be over and something else as well.
+const overOrAnother = "expired, or another"
+
+// ambiguousState is the state of a message of which a response tells two.
+func ambiguousState(a, b string) string {
+	if stateReplies[a] == choice.ReplyOver || stateReplies[b] == choice.ReplyOver {
+		return overOrAnother
+	}
+	return ""
+}
+
 // stateOf is the result of one message, by its state in the response that res tells of. What is not known may have run.
 func stateOf(res delivery.Result, state string) delivery.Result {
 	res.Outcome, res.Closed, res.NotRun = choice.Fault, false, false
@@ -152,6 +164,9 @@
 	case "no_more":
 		res.Outcome, res.NotRun = choice.Stale, true
 	default:
+		if state == overOrAnother {
+			res.Replies = choice.RepliesOf(choice.ReplyFault, choice.ReplyOver)
+		}
 		res.Err = errors.New("the answer does not tell what became of it")
 	}
 	return res
--- a/internal/node/batches_test.go
+++ b/internal/node/batches_test.go
@@ -34,7 +34,8 @@
 
 func TestFatesOfACallWithSeveral(t *testing.T) {
 	ran, never := delivery.Result{Outcome: choice.Fault}, delivery.Result{Outcome: choice.NoRoom, NotRun: true}
-	good, cut := delivery.Result{Outcome: choice.Pass, Closed: true}, delivery.Result{Outcome: choice.Cut}
+	good, cut := delivery.Result{Outcome: choice.Pass, Closed: true}, delivery.Result{Outcome: choice.Cut, Replies: choice.RepliesOf(choice.ReplyPass)}
+	maybeOver := delivery.Result{Outcome: choice.Cut, Replies: choice.RepliesOf(choice.ReplyOver)}
 	waits := func(r delivery.Result) delivery.Result { r.Wait = 350 * time.Millisecond; return r }
 	for _, c := range []struct {
 		name, says string
@@ -54,6 +55,10 @@
 		{"noise", answered("200 OK", `%$&`), cut, cut},
 		{"too short", "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + `[{"id":"a","state":"accepted"}`, cut, cut},
 		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat(" ", 1<<18), cut, cut},
+		{"cut behind one that is over", "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n" + `[{"id":"a", "state" : "expired"},{"id":"b","st`, maybeOver, cut},
+		{"part of another ahead", answered("200 OK", `[{"id":"z","st[{"id":"a","state":"accepted"},{"id":"b","state":"expired"}]`), cut, maybeOver},
+		{"over and taken", answered("200 OK", `[{"id":"a","state":"expired"},{"id":"a","state":"accepted"},{"id":"b","state":"accepted"}]`),
+			delivery.Result{Outcome: choice.Fault, Replies: choice.RepliesOf(choice.ReplyFault, choice.ReplyOver)}, good},
 		{"all turned away", answered("503 No", ""), never, never},
 		{"all told to wait", answered("429 No\r\nRetry-After: 0.35", ""), waits(never), waits(never)},
 		{"all failed", answered("500 No", ""), ran, ran},
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -360,7 +360,9 @@
 // A spoilt answer proves nothing but that the call was heard, and must not hold its slot until the deadline. Only a
 // first line with 200 is true whatever follows it.
 func TestSpoiltAnswers(t *testing.T) {
-	for _, code := range []string{"200", "429", "503", "504", "410", "500"} {
+	for code, reply := range map[string]choice.Reply{
+		"200": choice.ReplyPass, "429": choice.ReplyRefused, "503": choice.ReplyRefused, "504": choice.ReplyRefused, "410": choice.ReplyOver, "500": choice.ReplyFault,
+	} {
 		for _, c := range []struct{ name, rest string }{
 			{"a head that does not end", "X-A: b\r\n"},
 			{"an endless head", "X-A: " + strings.Repeat("b", 2*(maxAnswerHead+maxAnswerBody))},
@@ -381,7 +383,7 @@
 				pool := testPool()
 				got := pool.Attempt(t.Context(), testCall(endpointAt(p.Addr())))
 				got.Heard = time.Time{}
-				want := delivery.Result{Outcome: choice.Cut}
+				want := delivery.Result{Outcome: choice.Cut, Replies: choice.RepliesOf(reply)}
 				if code == "200" {
 					want = delivery.Result{Outcome: choice.Pass, Closed: true}
 				}
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -84,6 +84,8 @@
 type answer struct {
 	result delivery.Result
 	states map[string]string
+	said   choice.Replies            // of the response as a whole
+	may    map[string]choice.Replies // of a call with several messages in doubt: what each may have been answered
 }
 
 // callEnd is what a connection's reader tells the call when it has its answer.
@@ -91,6 +93,7 @@
 	reuse     bool // the connection is good for another call
 	undecided bool // the reader keeps the connection, and settles the call later
 	err       error
+	came      answer // with err: as much of a response as came
 }
 
 // settled gives an undecided call its final answer; nil if the one that came stands.
@@ -118,20 +121,15 @@
 
 // followed settles an undecided call by the response that came after the next request. Whichever of both is its own, an equal one says the
 // same; of another one it can't be told.
-func (x *call) followed(r pairing.Response) {
+func (x *call) followed(r pairing.Response, came answer) {
 	if r.Fingerprint != 0 && r == x.said {
 		x.settled(nil)
 		return
 	}
-	a := unknown(errAmbiguous)
+	a := x.unknown(errAmbiguous, x.answer, came)
 	x.settled(&a)
 }
 
-// unknown is the answer of a call that may have run.
-func unknown(err error) answer {
-	return answer{result: delivery.Result{Outcome: choice.Cut, Err: err}}
-}
-
 var (
 	errAmbiguous = errors.New("answer: it can't be told which of several responses it is")
 	errUnproven  = errors.New("answer: it may be a copy of the one before, and silence proves nothing")
@@ -234,19 +232,24 @@
 	n, err := k.Write(x.request)
 	c.Times.Wrote()
 	if err != nil && n < len(x.request) {
+		var came answer
 		if !k.abandon(x) {
-			if end := <-x.end; end.undecided {
+			end := <-x.end
+			if end.undecided {
 				return end
 			}
+			if came = end.came; end.err == nil {
+				came = x.answer
+			}
 		}
-		x.answer = notSent(choice.NoRoute, err) // without its last byte the endpoint has not begun it
+		x.answer = x.oneOf(notSent(choice.NoRoute, err), came) // without its last byte the endpoint has not begun it
 		return callEnd{}
 	}
 	end := <-x.end // the reader ends with the connection, which ends with ctx or at the time at which the call is given up
 	if end.err == nil {
 		return end
 	}
-	x.answer = unknown(end.err)
+	x.answer = x.unknown(end.err, end.came)
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), ctx.Err() == nil && !time.Now().Before(c.NotPast):
 		x.answer.result.Outcome = choice.TooSlow
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -31,7 +31,7 @@
 	case isTimeout(err):
 		return p.timedOut(k)
 	case err != nil:
-		p.broken(k, err)
+		p.broken(k, err, answer{})
 		return false
 	}
 	x, first := k.awaited()
@@ -41,7 +41,7 @@
 	}
 	r, err := k.readResponse(first, x.all)
 	if err != nil {
-		p.broken(k, err)
+		p.broken(k, err, r.answer)
 		return false
 	}
 	return p.received(k, r)
@@ -56,7 +56,7 @@
 	case x != nil:
 		return true // a call took it just now, and the deadline is gone
 	case u == nil:
-		p.broken(k, errIdle)
+		p.broken(k, errIdle, answer{})
 		return false
 	case k.hasUnread():
 		return k.SetReadDeadline(time.Time{}) == nil
@@ -94,7 +94,7 @@
 	count := p.surpluses
 	p.mu.Unlock()
 	p.log.Info("a response that may be a copy is not believed", "endpoint", k.endpoint, "message", u.message, "count", count)
-	a := unknown(errUnproven)
+	a := u.unknown(errUnproven, u.answer)
 	u.settled(&a)
 }
 
@@ -105,7 +105,7 @@
 	x, u, previous := k.call, k.undecided, k.previous
 	if x == nil && u == nil {
 		k.mu.Unlock()
-		p.broken(k, errAbandoned)
+		p.broken(k, errAbandoned, r.answer)
 		return false
 	}
 	k.previous, k.heard = nil, time.Now()
@@ -131,7 +131,7 @@
 	}
 	k.mu.Unlock()
 	if previous != nil {
-		previous.followed(r.pairing)
+		previous.followed(r.pairing, r.answer)
 	}
 
 	switch {
@@ -160,18 +160,18 @@
 		u.settled(&r.answer)
 	case u != nil:
 		p.surplus(k, r, verdict, "the call may have run")
-		a := unknown(errAmbiguous)
+		a := u.unknown(errAmbiguous, u.answer, r.answer)
 		u.settled(&a)
 	case x != nil:
 		p.surplus(k, r, verdict, "the call may have run")
-		x.end <- callEnd{err: errAmbiguous}
+		x.end <- callEnd{err: errAmbiguous, came: r.answer}
 	}
 	return false
 }
 
 // undecide leaves a call undecided until its connection has been quiet.
 func (p *pool) undecide(k *conn, x *call, r response) {
-	x.answer, x.said = r.answer, r.pairing
+	x.answer, x.said = x.inDoubt(r.answer), r.pairing
 	p.keepUndecided(k, x)
 	x.end <- callEnd{undecided: true}
 }
@@ -195,22 +195,23 @@
 		k.mu.Unlock()
 		p.surplus(k, r, verdict, "no call was out")
 	}
-	p.broken(k, errUnasked)
+	p.broken(k, errUnasked, answer{})
 }
 
-// broken ends a connection that was ended, that says what can't be read, or that has stood idle for long enough.
-func (p *pool) broken(k *conn, err error) {
+// broken ends a connection that was ended, that says what can't be read, or that has stood idle for long enough. came is as much of a
+// response as could be read.
+func (p *pool) broken(k *conn, err error, came answer) {
 	k.mu.Lock()
 	x, undecided := k.call, []*call{k.previous, k.undecided}
 	k.call, k.previous, k.undecided, k.gone = nil, nil, nil, true
 	k.mu.Unlock()
 	p.discard(k)
 	if x != nil {
-		x.end <- callEnd{err: err}
+		x.end <- callEnd{err: err, came: came}
 	}
 	for _, u := range undecided {
 		if u != nil {
-			a := unknown(err)
+			a := u.unknown(err, u.answer, came)
 			u.settled(&a)
 		}
 	}
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -57,9 +57,9 @@
 			return response{}, fmt.Errorf("answer: %w", err)
 		}
 		k.wholeBy = time.Now().Add(wholeTimeout)
-		code, err := k.status()
+		code, begun, err := k.status()
 		if err != nil {
-			return response{}, fmt.Errorf("answer: %w", err)
+			return response{answer: answer{said: begun}}, fmt.Errorf("answer: %w", err)
 		}
 		heard := time.Now()
 		if saysAll := code == http.StatusOK && all == nil; saysAll {
@@ -71,13 +71,14 @@
 			r, err = spoiltPass(r), nil
 		}
 		if err != nil {
-			return response{}, fmt.Errorf("answer: %w", err)
+			return r.spoilt(code), fmt.Errorf("answer: %w", err)
 		}
 		if err := k.SetReadDeadline(time.Time{}); err != nil {
 			r.goesOn = false
 		}
 		if code >= http.StatusOK {
 			r.status, r.result.Heard = code, heard
+			r.said |= choice.RepliesOf(replyOf(code))
 			r.result.On.Status = code
 			return r, nil
 		}
@@ -87,19 +88,33 @@
 
 // spoiltPass is a response with 200 that did not come whole, of which so much was read. Its connection is not used again.
 func spoiltPass(read response) response {
-	return response{answer: answer{result: delivery.Result{Outcome: choice.Pass, Closed: true}},
+	return response{answer: answer{result: delivery.Result{Outcome: choice.Pass, Closed: true}, said: read.said},
 		pairing: pairing.Response{Fingerprint: read.pairing.Fingerprint, Pass: true}}
 }
 
-// status looks at the first line, as soon as it is there.
-func (k *conn) status() (int, error) {
+// spoilt is what a response with a status says of which a part came.
+func (r response) spoilt(status int) response {
+	told := response{answer: answer{states: r.states, said: r.said}, status: status}
+	if status >= http.StatusOK {
+		told.said |= choice.RepliesOf(replyOf(status))
+		told.result.On.Status = status
+	}
+	return told
+}
+
+// status looks at the first line, as soon as it is there. Of one that does not end, begun is what it may say.
+func (k *conn) status() (code int, begun choice.Replies, err error) {
 	for n := k.br.Buffered(); ; n = max(n+1, k.br.Buffered()) {
 		seen, err := k.br.Peek(n)
 		if line, _, ok := bytes.Cut(seen, []byte("\n")); ok {
-			return statusCode(strings.TrimSuffix(string(line), "\r"))
+			code, err := statusCode(strings.TrimSuffix(string(line), "\r"))
+			if err != nil {
+				begun = repliesWithin(line)
+			}
+			return code, begun, err
 		}
 		if err != nil {
-			return 0, err
+			return 0, repliesBegun(seen), err
 		}
 	}
 }
@@ -170,7 +185,7 @@
 func (k *conn) readWhole(first bool, all []delivery.Attempt) (response, error) {
 	head, err := k.head()
 	if !first && len(head) > 0 && holdsStatusLine(head) {
-		return response{}, errGarbled
+		return response{answer: answer{said: repliesWithin(head)}}, errGarbled
 	}
 	var r response
 	if head != nil {
@@ -191,15 +206,31 @@
 	r.result, r.goesOn = outcome(resp), !resp.Close
 	r.result.HungUp = resp.Close
 	r.pairing.Pass = resp.StatusCode == http.StatusOK
-	if all == nil {
-		err = discard(resp.Body)
-	} else {
+	if all != nil {
 		r.result.NotRun = r.result.NotRun || turnedDown(resp.StatusCode)
-		err = r.readStates(resp, all)
+		return r, r.readStates(resp, all)
+	}
+	if first {
+		return r, discard(resp.Body)
 	}
+	var body holder
+	err = discard(io.TeeReader(resp.Body, &body))
+	r.said = repliesWithin(body)
 	return r, err
 }
 
+// mostHeld is how much of a body is looked at, in bytes: more than a response without a body of its own takes.
+const mostHeld = 512
+
+// holder keeps the beginning of what is written to it.
+type holder []byte
+
+// Write implements io.Writer. It never fails.
+func (h *holder) Write(b []byte) (int, error) {
+	*h = append(*h, b[:min(len(b), mostHeld-len(*h))]...)
+	return len(b), nil
+}
+
 // readStates reads the body of a response to a call with several messages.
 func (r *response) readStates(resp *http.Response, all []delivery.Attempt) error {
 	if !r.pairing.Pass {
@@ -210,11 +241,14 @@
 	if err == nil && len(body) > maxAnswerBody {
 		err = errLongBody
 	}
+	var named bool
+	if err == nil {
+		r.states, named, err = readStates(body, all)
+	}
 	if err != nil {
+		r.states = statesWithin(body, all)
 		return err
 	}
-	var named bool
-	r.states, named, err = readStates(body, all)
 	if r.pairing.Foreign = !named; named {
 		r.pairing.Named = max(maphash.Bytes(fingerprintSeed, body)^r.pairing.Fingerprint, 1)
 	}
--- a/undelivered/recovery/recovery.go
+++ b/undelivered/recovery/recovery.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -375,7 +376,7 @@
 // reason tells why a message ended undelivered.
 func reason(l *delivery.Lost, maxAttempts int) rules.Reason {
 	switch {
-	case l.State == delivery.Refused:
+	case l.State == delivery.Refused, slices.ContainsFunc(l.Tried, func(t delivery.Tried) bool { return t.MayBeOver }):
 		return rules.Refused
 	case !l.Ended.Before(l.Due.Add(-endMargin)):
 		return rules.OutOfTime
--- a/undelivered/rules/rules.go
+++ b/undelivered/rules/rules.go
@@ -42,7 +42,7 @@
 	MayHaveRun  Reason = "may-have-run" // it must not be sent again, or not any more
 	OutOfTries  Reason = "out-of-tries" // it has had all its attempts
 	Interrupted Reason = "interrupted"  // its process ended with an attempt out
-	Refused     Reason = "refused"      // the partner has answered a further life that it will not do it
+	Refused     Reason = "refused"      // the partner has answered a further life that it will not do it, or may have answered that nobody wants it
 )
 
 var reasons = []Reason{OutOfTime, MayHaveRun, OutOfTries, Interrupted, Refused}
