A message that is taken on is not refused by those who can't know that

What callers saw: a message that was taken on and is handed in again while other clients hold the memory for bodies is answered -BUSY, which promises that it does not run, and is called all the same, payouts too.

Cause: the reader of clients refused a body without memory before anybody had looked whether the message is taken on. Likewise Offered.Answer after the engine has ended, and a message whose further life is under way. Class: a refusal is a promise, and was made by who can't know.

Mend: a body without memory is read into the digest of its message (delivery.Unkept), and the engine answers: as any repeat if it has the message, else with the refusal, which is remembered like every other. After the engine's end its memory is read. A client whose message has a further life hears that it failed.

The engine's test plays seven states, with the body not kept and after the end. In TestALargeBodyWithoutMemoryIsRefused the stand-in for the engine refuses what was not kept, as the engine does; what the client is to hear is unchanged.

--- a/delivery/ends.go
+++ b/delivery/ends.go
@@ -267,7 +267,7 @@
 		n.forget(p)
 		reply := Answer{Refused: true, After: e.after}
 		if e.state == Failed {
-			reply = Answer{Failed: "the message failed"}
+			reply = messageFailed
 		}
 		n.acts = append(n.acts, act{do: func() {
 			for _, a := range all {
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -68,6 +68,9 @@
 	Tenant int
 	Came   time.Time // when it came in,
 	Life   time.Duration
+	// Unkept stands in the place of a body that was read and could not be kept. Such a message is taken on by nobody; but one that the
+	// engine has already is answered as any that comes again.
+	Unkept *Unkept
 	// Keep has its end kept until Acknowledge, also if somebody waited for it.
 	Keep bool
 }
--- a/delivery/identity.go
+++ b/delivery/identity.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
+	"time"
 )
 
 // This file tells whether a message that is handed in under a known ID is the message of that ID. What goes on unchanged counts: class, tenant,
@@ -16,6 +17,23 @@
 // matches tells whether two contents are equal, as far as both are known.
 func (d contentDigest) matches(other contentDigest) bool { return d == 0 || other == 0 || d == other }
 
+// Unkept is a message's body that is read without being kept. The body is written to it. It is used by one goroutine at a time.
+type Unkept struct {
+	// After is when its client may come again, if the message was not taken on before.
+	After  time.Duration
+	digest digester
+}
+
+// NewUnkept begins the body of a message, of which all else is known.
+func NewUnkept(m Message, after time.Duration) *Unkept {
+	u := &Unkept{After: after}
+	u.digest.begin(m.Class, m.Tenant, m.Dest, m.Key)
+	return u
+}
+
+// Write takes the next part of the body. It never fails.
+func (u *Unkept) Write(part []byte) (int, error) { return u.digest.hash.Write(part) }
+
 // digester makes digests. The zero value is ready; it is used by one goroutine at a time.
 type digester struct {
 	hash hash.Hash
@@ -25,6 +43,13 @@
 
 // of is the digest of a message's content.
 func (d *digester) of(class, tenant, dest int, key string, body []byte) contentDigest {
+	d.begin(class, tenant, dest, key)
+	d.hash.Write(body) // never fails
+	return d.end()
+}
+
+// begin begins a digest. The body is written to the hash next.
+func (d *digester) begin(class, tenant, dest int, key string) {
 	if d.hash == nil {
 		d.hash = sha256.New()
 	}
@@ -35,7 +60,10 @@
 	d.head = append(d.head, key...)
 	d.hash.Reset()
 	d.hash.Write(d.head) // never fails
-	d.hash.Write(body)
+}
+
+// end is the digest of what was written since it was begun.
+func (d *digester) end() contentDigest {
 	d.sum = d.hash.Sum(d.sum[:0])
 	return max(contentDigest(binary.LittleEndian.Uint64(d.sum)), 1)
 }
@@ -50,13 +78,16 @@
 
 // ofMessage is the digest of a message that is handed in.
 func (d *digester) ofMessage(m Message) contentDigest {
+	if m.Unkept != nil {
+		return m.Unkept.digest.end()
+	}
 	return d.of(m.Class, m.Tenant, m.Dest, m.Key, m.Body)
 }
 
 // isMessage tells whether a message that is handed in is the one that the journal has under its ID.
 func (n *Engine) isMessage(p *past, m Message) bool {
-	if p.ended != nil {
-		return p.ended.content.matches(n.digester.ofMessage(m))
+	if p.ended != nil || m.Unkept != nil {
+		return n.digester.ofPast(p).matches(n.digester.ofMessage(m))
 	}
 	return p.class == m.Class && p.tenant == m.Tenant && p.dest == m.Dest && p.key == m.Key && bytes.Equal(p.body, m.Body)
 }
--- a/delivery/intake.go
+++ b/delivery/intake.go
@@ -27,6 +27,7 @@
 	engine *Engine
 	reply  chan Answer // nil if the answer is known
 	known  Answer
+	handed any // the arrival, as the loop was given it
 }
 
 // Resend hands in a further life of a message that ended undelivered, and waits to hear whether it is taken on. It is
@@ -45,11 +46,12 @@
 }
 
 func (n *Engine) submit(a arrival) Offered {
+	handed := any(a)
 	select {
-	case n.events <- a:
-		return Offered{engine: n, reply: a.reply}
+	case n.events <- handed:
+		return Offered{engine: n, reply: a.reply, handed: handed}
 	case <-n.over:
-		return Offered{known: Answer{Refused: true, After: n.cfg.Settings.MaxRetryAfter}}
+		return Offered{known: n.answerAfterEnd(a)}
 	}
 }
 
@@ -65,8 +67,8 @@
 		select {
 		case r := <-o.reply:
 			return r
-		default: // the loop has ended and did not take it on
-			return Answer{Refused: true, After: o.engine.cfg.Settings.MaxRetryAfter}
+		default: // the loop has ended and did not answer it
+			return o.engine.answerAfterEnd(o.handed.(arrival))
 		}
 	}
 }
@@ -110,7 +112,11 @@
 	p := n.messages[name]
 	if p != nil && (p.again() || a.life != nil) {
 		// A further life and a new message of its ID don't meet, or one's end could be taken for the other's.
-		a.answer(n.turnAway(a, TurnedByLife))
+		if a.life == nil && a.front.NewIDs && n.isMessage(p, a.Message) {
+			a.answer(messageFailed) // that was its end; a refusal would promise that no further life of it runs
+		} else {
+			a.answer(n.turnAway(a, TurnedByLife))
+		}
 		return nil
 	}
 	if n.takesAnothersID(a, p) {
@@ -151,6 +157,9 @@
 	case a.reply != nil && a.life == nil && refused:
 		a.answer(n.turnAway(a, TurnedByRepeat))
 		return nil
+	case a.Unkept != nil:
+		a.answer(n.turnAwayFor(a, TurnedByMemory, a.Unkept.After))
+		return nil
 	case a.Class < 0 || a.Class >= len(n.cfg.Settings.Classes):
 		a.answer(Answer{Failed: "unknown class"})
 		return nil
--- a/delivery/recorder.go
+++ b/delivery/recorder.go
@@ -36,6 +36,7 @@
 // Why a message was turned away before the decisions heard of it.
 const (
 	TurnedByRoom   = "room"    // the engine holds as many as it may
+	TurnedByMemory = "memory"  // there is no memory for its body
 	TurnedByDisk   = "disk"    // the journal can't have it
 	TurnedByLife   = "another" // another life of it is under way
 	TurnedByRepeat = "repeat"  // it was refused a short while ago, and its client has been told so
--- a/delivery/repeats.go
+++ b/delivery/repeats.go
@@ -143,10 +143,41 @@
 	case state == Returned:
 		a.answer(n.turnAway(a, TurnedByRepeat))
 	default:
-		a.answer(Answer{Failed: "the message failed"})
+		a.answer(messageFailed)
 	}
 }
 
+// messageFailed is the answer to a message that comes again after it ended as failed.
+var messageFailed = Answer{Failed: "the message failed"}
+
+// answerAfterEnd answers a message that is handed in once the engine has ended, when nothing changes any more: it may be called by many goroutines
+// at a time. One that the next life will go on with is not refused, for that promises that it does not run.
+func (n *Engine) answerAfterEnd(a arrival) Answer {
+	refusal := Answer{Refused: true, After: n.cfg.Settings.MaxRetryAfter}
+	name := ref(a.front.Name, a.ID)
+	end, ended := n.ended.known[maphash.String(nameSeed, name)]
+	var own digester
+	p := n.messages[name]
+	if p != nil {
+		if end, ended = (knownEnd{content: own.ofPast(p)}), p.ended != nil; ended {
+			end.state = p.ended.state
+		}
+	}
+	switch {
+	case a.life != nil || (p == nil && !ended) || !end.content.matches(own.ofMessage(a.Message)):
+		return refusal
+	case p != nil && n.hold.by[p] != nil:
+		return Answer{Failed: errMayStand.Error()}
+	case p != nil && p.again():
+		return messageFailed
+	case p != nil && !ended, !a.front.NewIDs, end.state == Delivered:
+		return Answer{}
+	case end.state == Returned:
+		return refusal
+	}
+	return messageFailed
+}
+
 // forgetEnded forgets a message that has its end, but for what tells it from a new one of its id. One that was returned may come
 // again under that, unless its front has new IDs.
 func (n *Engine) forgetEnded(p *past, state State) {
--- a/delivery/repeats_test.go
+++ b/delivery/repeats_test.go
@@ -134,3 +134,63 @@
 		}
 	}
 }
+
+// Guards against a message that the engine has being refused by somebody who can't know that, and sent all the same: its body could not be kept, a further life of
+// it is under way, or the engine has ended.
+func TestARefusalIsNoAnswerToAMessageThatIsTakenOn(t *testing.T) {
+	taken := func(a Answer) bool { return a == Answer{} }
+	refused := func(a Answer) bool { return a.Refused }
+	failed := func(a Answer) bool { return a.Failed != "" }
+	for _, c := range []struct {
+		name  string
+		state State
+		ended bool
+		other bool // another message has its id
+		fresh bool // it was not handed in before
+		again bool // it is a further life
+		want  func(Answer) bool
+	}{
+		{name: "open", want: taken},
+		{name: "delivered", ended: true, state: Delivered, want: taken},
+		{name: "failed", ended: true, state: Failed, want: failed},
+		{name: "returned", ended: true, state: Returned, want: refused},
+		{name: "another one of its id", other: true, want: refused},
+		{name: "new", fresh: true, want: refused},
+		{name: "a further life", again: true, want: failed},
+	} {
+		for _, over := range []bool{false, true} {
+			n := bare(t, newCarrier(pass), held()) // nothing is sent
+			n.fronts[""].NewIDs = true
+			if !c.fresh {
+				n.take(t.Context(), []any{n.handIn("a", 50*time.Second)})
+				p := n.messages["a"]
+				if c.again {
+					p.first = time.Now()
+				}
+				if c.ended {
+					n.finish(p, ending{state: c.state}, nil, true)
+				}
+			}
+			a := n.handIn("a", 50*time.Second)
+			if c.other {
+				a.Body = []byte("another")
+			}
+			if !over {
+				a.Unkept = NewUnkept(a.Message, time.Second)
+				a.Unkept.Write(a.Body)
+				a.Body = nil
+			}
+			if over {
+				close(n.over)
+				if got := n.submit(a).Answer(); !c.want(got) {
+					t.Errorf("%s, after the end: got %+v", c.name, got)
+				}
+				continue
+			}
+			n.take(t.Context(), []any{a})
+			if got := <-a.reply; !c.want(got) {
+				t.Errorf("%s, its body not kept: got %+v", c.name, got)
+			}
+		}
+	}
+}
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -16,6 +16,9 @@
 	taken := make(chan int, 9)
 	c, addr := serveWith(t, 8, make(bodyMemory, 20), func(m delivery.Message) func() delivery.Answer {
 		return func() delivery.Answer {
+			if m.Unkept != nil { // as an engine that does not have it
+				return delivery.Answer{Refused: true, After: m.Unkept.After}
+			}
 			taken <- len(m.Body)
 			return delivery.Answer{}
 		}
--- a/internal/node/command.go
+++ b/internal/node/command.go
@@ -11,11 +11,16 @@
 	"starlingusher/internal/wire"
 )
 
+// enqueueWords is how many words an ENQUEUE has.
+const enqueueWords = 5
+
+var errWordCount = errors.New("wrong number of arguments for 'enqueue' command")
+
 // parseEnqueue reads the words of an ENQUEUE.
 func parseEnqueue(args [][]byte, names wire.Names, came time.Time) (delivery.Message, error) {
 	q := delivery.Message{Came: came, Class: -1, Dest: -1, Life: -1}
-	if len(args) != 5 {
-		return q, errors.New("wrong number of arguments for 'enqueue' command")
+	if len(args) != enqueueWords {
+		return q, errWordCount
 	}
 	q.ID, q.Body = string(args[2]), args[4]
 	if !isToken(q.ID) {
--- a/internal/node/resp.go
+++ b/internal/node/resp.go
@@ -23,12 +23,15 @@
 // errTooLarge is a request that was read to its end and can't be taken.
 var errTooLarge = errors.New("a body holds 65536 bytes at most")
 
-// errCrowded is a request that was read to its end, and for whose body there was no memory.
+// errCrowded is a request that was read to its end, and for whose body there was no memory. Its words come with it, the body empty.
 var errCrowded = errors.New("no memory for the body")
 
+// passing is called with the words before a body that there is no memory for, and returns what the body is written to in place of being kept.
+type passing func(words [][]byte) io.Writer
+
 // readCommand reads an array of bulk strings or an inline command, within bounds, and a body into the room that there is for it. Empty commands
 // are passed over.
-func readCommand(r *bufio.Reader, room *bodyRoom) ([][]byte, error) {
+func readCommand(r *bufio.Reader, room *bodyRoom, pass passing) ([][]byte, error) {
 	for range maxEmpty {
 		line, err := readLine(r)
 		if err != nil {
@@ -36,12 +39,12 @@
 		}
 		var args [][]byte
 		if len(line) > 0 && line[0] == '*' {
-			args, err = readArray(r, line[1:], room)
+			args, err = readArray(r, line[1:], room, pass)
 		} else {
 			args = bytes.Fields(bytes.Clone(line))
 		}
 		if err != nil {
-			return nil, err
+			return args, err
 		}
 		if len(args) > 0 {
 			return args, nil
@@ -50,7 +53,7 @@
 	return nil, fmt.Errorf("%w: nothing but empty commands", errProtocol)
 }
 
-func readArray(r *bufio.Reader, length []byte, room *bodyRoom) ([][]byte, error) {
+func readArray(r *bufio.Reader, length []byte, room *bodyRoom, pass passing) ([][]byte, error) {
 	count, err := number(string(length))
 	if err != nil || count > maxArgs {
 		return nil, fmt.Errorf("%w: invalid multibulk length", errProtocol)
@@ -82,7 +85,7 @@
 			}
 			size = 0
 		}
-		arg, err := readBulk(r, size, room)
+		arg, err := readBulk(r, size, room, func() io.Writer { return pass(args) })
 		if errors.Is(err, errCrowded) {
 			crowded = true
 		} else if err != nil {
@@ -94,18 +97,18 @@
 	case skipped > 0:
 		return nil, errTooLarge
 	case crowded:
-		return nil, errCrowded
+		return args, errCrowded
 	}
 	return args, nil
 }
 
-// readBulk reads a bulk string and the end of its line. Room is made as the bytes come, not as they are announced. Where there is none, the string is read
-// past, and the error is errCrowded.
-func readBulk(r *bufio.Reader, size int, room *bodyRoom) ([]byte, error) {
+// readBulk reads a bulk string and the end of its line. Room is made as the bytes come, not as they are announced. Where there is none, the string is
+// written to what pass returns, and the error is errCrowded.
+func readBulk(r *bufio.Reader, size int, room *bodyRoom, pass func() io.Writer) ([]byte, error) {
 	whole := size + len(lineEnd)
 	first := min(whole, r.Size())
 	if whole > first && !room.grow(first) {
-		return nil, passBulk(r, whole)
+		return nil, passBulk(r, size, pass())
 	}
 	arg := make([]byte, first)
 	if _, err := io.ReadFull(r, arg); err != nil {
@@ -114,7 +117,11 @@
 	for have := len(arg); have < whole; have = len(arg) {
 		more := min(have, whole-have)
 		if !room.grow(have + more) {
-			return nil, passBulk(r, whole-have)
+			to, body := pass(), arg[:min(have, size)]
+			if _, err := to.Write(body); err != nil {
+				return nil, err
+			}
+			return nil, passRest(r, size-len(body), arg[len(body):], to)
 		}
 		arg = append(arg, make([]byte, more)...)
 		if _, err := io.ReadFull(r, arg[have:]); err != nil {
@@ -127,19 +134,21 @@
 	return arg[:size:size], nil
 }
 
-// passBulk reads past what is left of a bulk string and the end of its line.
-func passBulk(r *bufio.Reader, left int) error {
-	if left > len(lineEnd) {
-		if _, err := r.Discard(left - len(lineEnd)); err != nil {
-			return unexpected(err)
-		}
-		left = len(lineEnd)
+// passBulk writes a bulk string to another place, and reads past the end of its line. Its error is never nil.
+func passBulk(r *bufio.Reader, size int, to io.Writer) error {
+	return passRest(r, size, nil, to)
+}
+
+// passRest is passBulk for what is left of a bulk string, of whose line's end a part may have been read.
+func passRest(r *bufio.Reader, left int, end []byte, to io.Writer) error {
+	if _, err := io.CopyN(to, r, int64(left)); err != nil {
+		return unexpected(err)
 	}
-	end := make([]byte, left)
-	if _, err := io.ReadFull(r, end); err != nil {
+	rest := make([]byte, len(lineEnd)-len(end))
+	if _, err := io.ReadFull(r, rest); err != nil {
 		return unexpected(err)
 	}
-	if string(end) != lineEnd[len(lineEnd)-left:] {
+	if string(end)+string(rest) != lineEnd {
 		return errBulkLength
 	}
 	return errCrowded
