--- a/internal/faults/soak/day.go
+++ b/internal/faults/soak/day.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -117,6 +118,8 @@
 	LogGone time.Duration     // from when on the readers of the logs are gone; 0 for never
 	Plain   bool              // responses hold no report, and those to calls beyond a limit come late and tell no wait: many are alike
 
+	Withdrawn float64 // the share of the messages of which servers say that they are over
+
 	ColdFrom float64       // share of its limit that a server has when it comes back
 	WarmIn   time.Duration // until it has all of it
 }
@@ -137,6 +140,7 @@
 	toldWithin      = 6 * time.Second         // of discovery's having it, a change counts as told, whether it arrived or not
 	longestWait     = time.Second             // beyond the time to room, that a server at its limit tells
 	halvesWithin    = 3 * time.Second         // of its last byte, half a request has its error or its close
+	overSlack       = 100 * time.Millisecond  // in which a call may cross the word that its message is over
 	waitSlack       = 100 * time.Millisecond  // in which calls after a told wait are let through
 	journaledWithin = 500 * time.Millisecond  // of a node's reading it, on a busy machine, a wait outlasts the node's process
 )
@@ -177,6 +181,13 @@
 	return d
 }
 
+// withdrawn tells whether nobody wants a message any more when it comes to a server. It follows from its id.
+func (d *Day) withdrawn(id string) bool {
+	sum := fnv.New32a()
+	sum.Write([]byte(id)) // never fails
+	return float64(sum.Sum32())/math.MaxUint32 < d.Withdrawn
+}
+
 // warmth is the share of its limit that a server has a time after it came back.
 func (d *Day) warmth(since time.Duration) float64 {
 	return min(1, d.ColdFrom+(1-d.ColdFrom)*since.Seconds()/d.WarmIn.Seconds())
@@ -330,3 +341,23 @@
 	d.Streams = Streams{Share: []float64{0.01, 0.03}[rng.IntN(2)], Faults: []StreamFault{CopyBeforeHang}}
 	return d
 }
+
+// overDay is a day of tampered streams, or of servers that hang behind copies, on which many messages are over when they come to a server, and nodes
+// are restarted.
+func overDay(seed uint64) *Day {
+	rng := rand.New(rand.NewPCG(seed, 9))
+	d := hangDay(seed)
+	if rng.IntN(2) == 0 {
+		d = streamDay(seed)
+	}
+	d.Withdrawn = 0.1 + 0.5*rng.Float64()
+	for n := range d.Nodes {
+		kind := Terminate
+		if n%2 == 1 {
+			kind = Kill
+		}
+		at := 3*time.Second + time.Duration(rng.Int64N(int64(d.Length-8*time.Second)))
+		d.Faults = append(d.Faults, Fault{Kind: kind, At: at, For: startAfter, Target: n})
+	}
+	return d
+}
--- a/internal/faults/soak/server.go
+++ b/internal/faults/soak/server.go
@@ -337,7 +337,7 @@
 	id := req.Header.Get("X-Trace-Id")
 	node := nodeOf(id)
 	now := s.play.now()
-	s.play.history.called(now, node, s.number, s.play.endpointAt(req.Host))
+	s.play.history.called(now, id, node, s.number, s.play.endpointAt(req.Host))
 	s.mu.Lock()
 	if s.out {
 		kind := s.ill
@@ -355,6 +355,14 @@
 		resetConn(nc.Conn)
 		return false
 	}
+	if s.play.day.withdrawn(id) {
+		s.mu.Unlock()
+		_, err := io.WriteString(nc, "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n")
+		if err == nil {
+			s.play.history.isOver(s.play.now(), id, node)
+		}
+		return err == nil
+	}
 	warm := 1.0
 	if s.back > 0 {
 		warm = s.play.day.warmth(now - s.back)
--- a/internal/faults/soak/soak_test.go
+++ b/internal/faults/soak/soak_test.go
@@ -195,3 +195,9 @@
 func TestDrainsAreKeptWhileWatchesAreSlow(t *testing.T) {
 	playSeeds(t, []uint64{1, 2}, slowWatchDay)
 }
+
+// TestMessagesThatAreOverAreNotCalledAgain guards against a call for a message after a server said that it is over, while responses come again or in part,
+// servers hang and nodes are restarted.
+func TestMessagesThatAreOverAreNotCalledAgain(t *testing.T) {
+	playSeeds(t, []uint64{2, 3}, overDay)
+}
