A response in doubt is settled by what comes later on its connection

What callers saw: at a sound endpoint whose responses are equal, delivered payouts were reported as failed and other messages called again: the last call of each row on a connection that was shared without rest, one a connection at the end of each burst over 64 connections.

Cause: after 0.25 s of silence, which proves nothing there, the call was given up, though nothing forced a verdict: its slot is free, and what proves it comes later at no cost.

Mend: the response stays in doubt, for half of the time that its message has left, or to the deadline if it must not run twice. It is settled by the next call's equal response on the connection; by the response to a call that asked for the connection's end (from clearAfter on; it says so, no earlier one did, and responses come in order); or by the endpoint's own end of the idle connection at the time of the settings, without a reset. A timed out call, a response too many or connections that are given back end the wait at once, as does a shutdown. A connection that takes no further request is not handed to a call any more.

Model test of marked responses with copies in between; eight ways for a doubt to end.

--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -178,9 +178,24 @@
 	if a.BeginBy > 0 {
 		out.BeginBy = n.wall(a.BeginBy)
 	}
+	out.UndecidedTo = n.undecidedTo(p, now)
 	return leg{name, p, out}
 }
 
+// undecidedTo is until when an attempt of a message that begins now may stay undecided. What may be repeated has half of the time left for that, by its
+// deadline and by the window in which repeats are dropped; for any other message there is nothing else to do.
+func (n *Engine) undecidedTo(p *past, now time.Time) time.Time {
+	class := n.cfg.Settings.Classes[p.class]
+	left := p.deadline.Sub(now)
+	switch class.Effect {
+	case choice.Unsafe:
+		return p.deadline
+	case choice.Keyed:
+		left = min(left, class.Window)
+	}
+	return now.Add(left / 2)
+}
+
 // begin makes a call.
 func (n *Engine) begin(ctx context.Context, o *outgoing) {
 	if n.cfg.Copies != nil && !n.mine(o) {
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -21,6 +21,8 @@
 	Fresh    bool      // not on a connection that was used before
 	Once     bool      // it must not run twice
 	Number   int       // among the message's attempts, from 0
+	// UndecidedTo is until when the result may stay undecided, if only time can tell; zero for no longer than it takes to see that.
+	UndecidedTo time.Time
 	// Settle takes the final result, once, of an attempt whose result was undecided; nil says that the result stands. It may be called by
 	// another goroutine, and before the attempt has returned. If there is none, the attempt returns when its result is final.
 	Settle func(*Result)
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -34,6 +34,7 @@
 	tracker   pairing.Tracker
 	call      *call     // whose response is awaited
 	undecided *call     // whose response, the one that came last, may be a copy; nil for none
+	doubted   bool      // silence does not settle undecided
 	previous  *call     // that was undecided when the call went out: the next response tells of it
 	requests  int       // that went out
 	gone      bool      // nothing more comes of it
@@ -46,7 +47,9 @@
 type call struct {
 	message  string // of the call, or the first of them
 	endpoint *delivery.Endpoint
-	once     bool // it must not run twice
+	once     bool      // it must not run twice
+	until    time.Time // it may stay undecided for so long; under the connection's lock
+	ends     bool      // its request asks for the end of the connection
 	request  []byte
 	end      chan callEnd     // takes the one end that there is, without blocking
 	answer   answer           // that came; for an undecided call the one that counts if nothing follows
@@ -75,7 +78,7 @@
 // onAnother is the same request for another connection: the reader of the one before has nothing of it.
 func (x *call) onAnother() *call {
 	next := newCall(x.request)
-	next.message, next.endpoint, next.once = x.message, x.endpoint, x.once
+	next.message, next.endpoint, next.once, next.until = x.message, x.endpoint, x.once, x.until
 	next.all, next.settle, next.done = x.all, x.settle, x.done
 	return next
 }
@@ -121,7 +124,11 @@
 
 // followed settles an undecided call by the response that came after the next request. Whichever of both is its own, an equal one says the
 // same; of another one it can't be told.
-func (x *call) followed(r pairing.Response, came answer) {
+func (x *call) followed(r pairing.Response, came answer, proven bool) {
+	if proven {
+		x.settled(nil)
+		return
+	}
 	if r.Fingerprint != 0 && r == x.said {
 		x.settled(nil)
 		return
@@ -173,9 +180,12 @@
 	if rested && k.undecided == nil && !k.heard.IsZero() && k.hasUnread() {
 		return false // a copy, or its end, that the reader has not come to
 	}
-	k.previous, k.undecided = k.undecided, nil
+	k.previous, k.undecided, k.doubted = k.undecided, nil, false
 	k.call = x
 	k.tracker.Request(rested)
+	if x.ends {
+		k.tracker.Mark()
+	}
 	return true
 }
 
@@ -229,9 +239,13 @@
 	}
 	c.Times.Write()
 	x.sentAt = time.Now()
-	n, err := k.Write(x.request)
+	request := x.request
+	if x.ends {
+		request = lastRequest(request)
+	}
+	n, err := k.Write(request)
 	c.Times.Wrote()
-	if err != nil && n < len(x.request) {
+	if err != nil && n < len(request) {
 		var came answer
 		if !k.abandon(x) {
 			end := <-x.end
@@ -274,6 +288,36 @@
 	return nil, k.tracker.First()
 }
 
+// isDoubted tells whether silence does not settle the undecided call.
+func (k *conn) isDoubted() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.doubted && k.undecided != nil && k.tracker.Reusable()
+}
+
+// isReusable tells whether a further request may go out.
+func (k *conn) isReusable() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.tracker.Reusable()
+}
+
+// isIdleEnd tells whether a connection with an undecided call ended as endpoints end those that have stood idle for as long as the settings say. One on
+// which a call hangs is not idle, and a process that dies resets it. The lock is held.
+func (k *conn) isIdleEnd(err error, idle time.Duration) bool {
+	return k.doubted && k.undecided != nil && k.call == nil && k.previous == nil && errors.Is(err, io.EOF) && time.Since(k.heard) >= idle
+}
+
+// endDoubt has an undecided call wait no longer for what may tell. Its reader settles it.
+func (k *conn) endDoubt() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.doubted && k.undecided != nil {
+		k.undecided.until = time.Time{}
+		k.SetReadDeadline(time.Now()) // an error says that it is closed, which ends its reader
+	}
+}
+
 // idleFor lets a connection stand idle until a time, and tells whether it can.
 func (k *conn) idleUntil(end time.Time) bool {
 	k.mu.Lock()
--- a/internal/node/pairing/pairing.go
+++ b/internal/node/pairing/pairing.go
@@ -35,6 +35,8 @@
 	Named   uint64
 	Pass    bool // it has status 200
 	Foreign bool // its body names none of what the request asked for: it answers another one
+	// Final says that the response ends its connection, as the request asked for which is marked as the last one: no response before it does.
+	Final bool
 	// Kind is equal for responses whose heads differ in their dates at most; 0 where it is not known.
 	Kind uint64
 }
@@ -88,6 +90,7 @@
 	recent  []uint64 // fingerprints of the responses since a request went out on a quiet connection, 0 for one that is not known
 	copies  int      // responses that answered no request, or another one
 	last    bool     // no further request goes out
+	marked  bool     // the request that went out last asked for the end of the connection
 	pending Response // Undecided: the response that may be a copy
 }
 
@@ -115,6 +118,10 @@
 	t.state = Waiting
 }
 
+// Mark notes that the request which goes out asks for the end of the connection: a response that says so is its own, and proves those before it, since
+// responses come in order.
+func (t *Tracker) Mark() { t.marked = true }
+
 // Withdraw takes back a request of which no byte went out.
 func (t *Tracker) Withdraw() {
 	switch {
@@ -151,6 +158,10 @@
 	}
 	t.proves = t.exact && !t.cameLately(r)
 	t.remember(r)
+	if t.isMarked(r) {
+		t.exact, t.state = true, InStep
+		return Own
+	}
 	if first || (t.exact && !known) {
 		t.state = InStep
 		return Own
@@ -162,6 +173,10 @@
 // followed notes a response that comes after one that may be a copy.
 func (t *Tracker) followed(r Response) Verdict {
 	t.copies++
+	if t.isMarked(r) {
+		t.state = OutOfStep
+		return Corrected
+	}
 	if r.Fingerprint != 0 && r == t.pending && t.copies <= MostCopies {
 		return MayBeCopy // whichever of the two it is, it says the same
 	}
@@ -173,6 +188,12 @@
 	return Ambiguous
 }
 
+// isMarked tells whether a response is surely the one to a marked request. A first response proves itself.
+func (t *Tracker) isMarked(r Response) bool { return t.marked && r.Final }
+
+// Settles tells whether Quiet would prove the undecided response.
+func (t *Tracker) Settles() bool { return t.state == InStep || (t.state == Undecided && t.proves) }
+
 // Last notes that no further request goes out.
 func (t *Tracker) Last() { t.last = true }
 
--- a/internal/node/pairing/pairing_test.go
+++ b/internal/node/pairing/pairing_test.go
@@ -163,3 +163,47 @@
 		t.Errorf("withdrawn: %v", opaque.State())
 	}
 }
+
+// Guards against a response that asks for its connection's end proving more than the order of responses does, whatever copies come in between.
+func TestAMarkedResponseProvesThoseBeforeItByTheirOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pass := func(label string) Response {
+			return Response{Fingerprint: uint64(rapid.IntRange(1, 2).Draw(t, label)), Pass: true}
+		}
+		first, second, last := pass("first"), pass("second"), Response{Fingerprint: 9, Pass: true, Final: true}
+		onWay := []Response{}
+		said := []Response{first}
+		for _, next := range []Response{second, last} {
+			for rapid.Bool().Draw(t, "copy") {
+				onWay = append(onWay, rapid.SampledFrom(said).Draw(t, "of"))
+			}
+			onWay, said = append(onWay, next), append(said, next)
+		}
+		var tracker Tracker
+		tracker.Request(true)
+		tracker.Response(first)
+		tracker.Request(false)
+		taken := onWay[0]
+		if tracker.Response(taken) != MayBeCopy {
+			return // it is certain, or nothing can be told
+		}
+		tracker.Request(false)
+		tracker.Mark()
+		for i, r := range onWay[1:] {
+			switch v := tracker.Response(r); v {
+			case Own:
+				if r != last || (i == 0 && taken != second) {
+					t.Fatalf("%v proves %v, the second response is %v", r, taken, second)
+				}
+				return
+			case Corrected:
+				if r != last {
+					t.Fatalf("%v was taken for the last one", r)
+				}
+				return
+			case Ambiguous:
+				return
+			}
+		}
+	})
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -28,6 +28,8 @@
 	mostUndecided = 64
 	// copySpan is for how long a copy of a response may follow it: what a server takes to write it, and a lost packet to be sent again.
 	copySpan = 250 * time.Millisecond
+	// clearAfter is for how long a response is in doubt until the next call goes there and asks for the connection's end, which proves both.
+	clearAfter = time.Second
 	// scarceFor is for how long an endpoint's places count as scarce after all its connections were given back twice in that time. Then
 	// each call has a connection of its own: one that waits for quiet holds its place for longer than the call.
 	scarceFor = 5 * time.Second
@@ -117,7 +119,7 @@
 // call makes the call of an attempt, on a kept connection or a new one, and returns what came of it, with the connection of a call that is
 // undecided.
 func (p *pool) call(ctx context.Context, c delivery.Attempt, x *call) (answer, *conn) {
-	x.message, x.endpoint, x.once = c.ID, c.Endpoint, c.Once
+	x.message, x.endpoint, x.once, x.until = c.ID, c.Endpoint, c.Once, c.UndecidedTo
 	if now := time.Now(); !c.MayBegin(now) || ctx.Err() != nil || !now.Before(c.NotPast) {
 		return notSent(choice.Stale, nil), nil
 	}
@@ -150,6 +152,9 @@
 		if !end.undecided {
 			p.release(x, k, end.reuse && inTime && stopped)
 		}
+		if x.answer.result.Outcome == choice.TooSlow {
+			p.endDoubts(c.Endpoint.ID) // it may hang: nothing more will tell
+		}
 		a := x.answer
 		a.result.On = x.exchanged(a.result.On.Status)
 		a.result.Kept, a.result.Undecided = kept, end.undecided
@@ -218,6 +223,7 @@
 // take returns a kept connection that is still good, with the call begun on it; or nil.
 func (p *pool) take(e *delivery.Endpoint, x *call) *conn {
 	for {
+		x.ends = false
 		k := p.pick(e.ID, x)
 		if k == nil {
 			return nil
@@ -237,6 +243,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept, now := p.idle[id], time.Now()
+	if k := p.doubtedFor(id, clearAfter, now); k != nil {
+		x.ends = true
+		p.dropUndecided(k)
+		return k
+	}
 	for i := len(kept) - 1; i >= 0; i-- {
 		if k := kept[i]; p.serves(k, x, now) {
 			p.drop(id, i)
@@ -247,7 +258,11 @@
 	count := len(kept) + len(waiting)
 	room := count < mostUndecided && p.size+p.waiting < p.maxIdle
 	usable := slices.IndexFunc(kept, func(k *conn) bool { return !x.once || !k.mixed })
+	doubted := p.doubtedFor(id, leastQuiet, now)
 	switch {
+	case doubted != nil && !room: // its response tells of the one before
+		p.dropUndecided(doubted)
+		return doubted
 	case count == 0, room && (usable >= 0 || len(kept) == 0):
 		return nil
 	case usable >= 0:
@@ -258,11 +273,40 @@
 		p.closeFirst(id) // the new one takes its place
 		return nil
 	}
-	k := waiting[0]
+	i := slices.IndexFunc(waiting, (*conn).isReusable)
+	if i < 0 {
+		return nil
+	}
+	k := waiting[i]
 	p.dropUndecided(k)
 	return k
 }
 
+// doubtedFor is a connection of an endpoint that has been in doubt for some time, and that the endpoint does not close yet; nil for none. The lock is held.
+func (p *pool) doubtedFor(id string, span time.Duration, now time.Time) *conn {
+	for _, k := range p.undecided[id] {
+		if quiet := now.Sub(k.idleSince); quiet < span {
+			return nil // those behind it have been for less
+		} else if quiet < p.idleFor && k.isDoubted() {
+			return k
+		}
+	}
+	return nil
+}
+
+// endDoubts has undecided calls to an endpoint wait no longer for what may tell.
+func (p *pool) endDoubts(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endDoubtsLocked(id)
+}
+
+func (p *pool) endDoubtsLocked(id string) {
+	for _, k := range p.undecided[id] {
+		k.endDoubt()
+	}
+}
+
 // serves tells whether a kept connection is good for a call. One on which a refusal came is not for a call that must not run twice: a copy of
 // the refusal would have it sent again. One that had a response a moment ago is not where a copy of that could not be told from the next
 // response: responses that differ can be, and those that name their messages. The lock is held.
@@ -387,6 +431,7 @@
 	count := p.surpluses
 	if verdict != pairing.Own && verdict != pairing.MayBeCopy {
 		p.distrusted.add(k.endpoint, distrustFor)
+		p.endDoubtsLocked(k.endpoint)
 	}
 	p.mu.Unlock()
 	message := ""
@@ -426,6 +471,7 @@
 	if keep > 0 {
 		return
 	}
+	p.endDoubtsLocked(id)
 	delete(p.took, id)
 	delete(p.variety, id)
 	if p.givenBack.has(id) {
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -72,7 +72,12 @@
 		k.mu.Unlock()
 		return true // a call took it just now
 	}
-	k.undecided = nil
+	if wait := time.Until(u.until); wait > 0 && !k.tracker.Settles() {
+		defer k.mu.Unlock()
+		k.doubted = true
+		return k.SetReadDeadline(u.until) == nil
+	}
+	k.undecided, k.doubted = nil, false
 	proven := k.tracker.Quiet()
 	k.gone = !proven
 	k.mu.Unlock()
@@ -109,7 +114,12 @@
 		return false
 	}
 	k.previous, k.heard = nil, time.Now()
+	r.pairing.Final = !r.goesOn
+	if x != nil && x.ends {
+		r.result.HungUp = false // as it was asked to
+	}
 	verdict := k.tracker.Response(r.pairing)
+	inOrder := x != nil && x.ends && verdict == pairing.Own
 	more := k.br.Buffered() > 0
 	switch verdict {
 	case pairing.Own:
@@ -131,7 +141,7 @@
 	}
 	k.mu.Unlock()
 	if previous != nil {
-		previous.followed(r.pairing, r.answer)
+		previous.followed(r.pairing, r.answer, inOrder)
 	}
 
 	switch {
@@ -202,6 +212,13 @@
 // response as could be read.
 func (p *pool) broken(k *conn, err error, came answer) {
 	k.mu.Lock()
+	if x := k.undecided; k.isIdleEnd(err, p.idleFor) {
+		k.undecided, k.gone = nil, true
+		k.mu.Unlock()
+		p.discard(k)
+		x.settled(nil)
+		return
+	}
 	x, undecided := k.call, []*call{k.previous, k.undecided}
 	k.call, k.previous, k.undecided, k.gone = nil, nil, nil, true
 	k.mu.Unlock()
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"errors"
 	"strconv"
 	"time"
@@ -27,6 +28,14 @@
 	return append(append(b, "\r\n\r\n"...), c.Body...), nil
 }
 
+// lastRequest is a request that asks for the end of its connection after the response.
+func lastRequest(request []byte) []byte {
+	const end, line = "\r\n", "\r\nConnection: close"
+	first := bytes.Index(request, []byte(end)) // of the request line
+	b := make([]byte, 0, len(request)+len(line))
+	return append(append(append(b, request[:first]...), line...), request[first:]...)
+}
+
 // appendHead begins a request; the last line is still to be ended.
 func appendHead(b []byte, path string, c delivery.Attempt, length int) []byte {
 	b = append(append(append(b, "POST "...), path...), " HTTP/1.1\r\nHost: "...)
--- a/internal/node/rest_test.go
+++ b/internal/node/rest_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -94,3 +95,68 @@
 		t.Errorf("%d calls on %d connections", calls, conns)
 	}
 }
+
+// Guards against a response in doubt that counts without a proof, and against one that is given up though a proof comes later.
+func TestAResponseInDoubtIsSettledByWhatComesLater(t *testing.T) {
+	const idle = 2 * time.Second // of connections, by the settings
+	last := strings.Replace(delivered, "\r\n", "\r\nConnection: close\r\n", 1)
+	hang := func(nc net.Conn, _ *http.Request) bool { return silent(nc, nil) }
+	for _, c := range []struct {
+		name   string
+		next   func(net.Conn, *http.Request) bool // what the next call meets, later than clearAfter; nil for no such call
+		ends   time.Duration                      // when the endpoint ends the connection, after its response; 0 for never
+		resets bool
+		want   choice.Outcome
+	}{
+		{"the next one is marked", says(last), 0, false, choice.Pass},
+		{"the next one is equal", says(delivered), 0, false, choice.Pass},
+		{"the next one is another", says(turnedAway), 0, false, choice.Cut},
+		{"the next one never comes", hang, 0, false, choice.Cut},
+		{"an end at its time", nil, idle, false, choice.Pass},
+		{"an early end", nil, idle / 3, false, choice.Cut},
+		{"a reset", nil, idle, true, choice.Cut},
+		{"nothing", nil, 0, false, choice.Cut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var calls atomic.Int32
+			p := newPartner(t, func(nc net.Conn, req *http.Request) bool {
+				if calls.Add(1) == 3 {
+					return c.next(nc, req)
+				}
+				if c.ends > 0 && calls.Load() == 2 {
+					time.AfterFunc(c.ends, func() {
+						if c.resets {
+							nc.(*net.TCPConn).SetLinger(0)
+						}
+						nc.Close()
+					})
+				}
+				return says(delivered)(nc, req)
+			})
+			pool := newPool(2*time.Second, idle, 1, slog.New(slog.DiscardHandler)) // one connection, so that none rests
+			call := testCall(endpointAt(p.Addr()))
+			pool.Attempt(t.Context(), call)
+			settled := make(chan *delivery.Result, 1)
+			call.Settle = func(r *delivery.Result) { settled <- r }
+			call.UndecidedTo = time.Now().Add(3 * time.Second)
+			if got := pool.Attempt(t.Context(), call); !got.Undecided {
+				t.Fatalf("got %+v", got)
+			}
+			if c.next != nil {
+				time.Sleep(clearAfter + 50*time.Millisecond)
+				next := testCall(call.Endpoint)
+				next.NotPast = time.Now().Add(300 * time.Millisecond)
+				next.Settle = func(*delivery.Result) {}
+				pool.Attempt(t.Context(), next)
+			}
+			got := choice.Pass
+			if final := <-settled; final != nil {
+				got = final.Outcome
+			}
+			if _, conns := p.counts(); got != c.want || conns != 1 {
+				t.Errorf("%v on %d connections, want %v", got, conns, c.want)
+			}
+		})
+	}
+}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -22,6 +23,7 @@
 	reply func(Call) (header string, body []byte) // of a good answer; nil for the step's own
 
 	port *Port
+	idle atomic.Int64 // nanoseconds; 0 for no such time
 
 	mu     sync.Mutex
 	ln     net.Listener // nil while it refuses
@@ -82,6 +84,9 @@
 	}
 }
 
+// CloseIdle has it close connections that have stood idle for so long, from the next request on each.
+func (p *HTTP) CloseIdle(after time.Duration) { p.idle.Store(int64(after)) }
+
 // Accept takes connections, at the address that it had before.
 func (p *HTTP) Accept() error {
 	p.mu.Lock()
@@ -144,6 +149,9 @@
 func (p *HTTP) converse(nc net.Conn, number int) {
 	br := bufio.NewReader(nc)
 	for {
+		if idle := p.idle.Load(); idle > 0 {
+			nc.SetReadDeadline(time.Now().Add(time.Duration(idle))) // an error says that it is closed
+		}
 		req, err := http.ReadRequest(br)
 		if err != nil {
 			return
