Responses that say the same settle the call before them, also where their dates differ

Cause: a response to the next call settled the one in doubt only if it was equal byte for byte. At each second the date differs, and the call counted as one that may have run.

Mend: whichever of two responses is a call's own, it is settled if both say the same of the message (Replies.IsCertain). Calls with several messages go by equal responses, as before.

--- a/choice/doubt.go
+++ b/choice/doubt.go
@@ -1,5 +1,7 @@
 package choice
 
+import "math/bits"
+
 // This file decides what may be done with a message whose attempt can't be told to have had one certain response: the response may be a
 // copy of an earlier one, it may have come in part, or its connection ended with it. Several explanations are open then, and a step is
 // lawful only if it is lawful under each of them.
@@ -33,6 +35,9 @@
 	return r&(1<<reply) != 0 || (r == 0 && reply == ReplyNone)
 }
 
+// IsCertain tells whether the set has one reply: whichever response is the true one, it says the same of the message.
+func (r Replies) IsCertain() bool { return bits.OnesCount8(uint8(r)) == 1 }
+
 // Next is what may be done with a message after an attempt in doubt.
 type Next uint8
 
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -129,7 +129,8 @@
 		x.settled(nil)
 		return
 	}
-	if r.Fingerprint != 0 && r == x.said {
+	same := x.all == nil && x.answer.said == came.said && came.said.IsCertain()
+	if same || (r.Fingerprint != 0 && r == x.said) {
 		x.settled(nil)
 		return
 	}
