A message for whose end others of its key wait is not undecided for longer

Need: a response may stay in doubt for half of its message's time since the mend of doubt at sound endpoints. Where messages with one key take turns, those behind it would wait for that.

Change: such a message has no time beyond what silence needs, as before that mend.

A test of the time for each effect, with windows and turns: passes; it has no case that failed in a run, the wait was found by reading.

--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -183,14 +183,17 @@
 }
 
 // undecidedTo is until when an attempt of a message that begins now may stay undecided. What may be repeated has half of the time left for that, by its
-// deadline and by the window in which repeats are dropped; for any other message there is nothing else to do.
+// deadline and by the window in which repeats are dropped; for any other message there is nothing else to do. One for whose end others of its key wait
+// has no time for that.
 func (n *Engine) undecidedTo(p *past, now time.Time) time.Time {
 	class := n.cfg.Settings.Classes[p.class]
 	left := p.deadline.Sub(now)
-	switch class.Effect {
-	case choice.Unsafe:
+	switch {
+	case class.Ordered && p.key != "":
+		return time.Time{}
+	case class.Effect == choice.Unsafe:
 		return p.deadline
-	case choice.Keyed:
+	case class.Effect == choice.Keyed:
 		left = min(left, class.Window)
 	}
 	return now.Add(left / 2)
--- a/delivery/undecided_test.go
+++ b/delivery/undecided_test.go
@@ -129,3 +129,26 @@
 		})
 	}
 }
+
+// Guards against a message that stays undecided for so long that it can't be repeated in time, or that others of its key wait.
+func TestNoMessageStaysUndecidedForTooLong(t *testing.T) {
+	n := bare(t, newCarrier(pass), held())
+	now := time.Now()
+	for name, c := range map[string]struct {
+		class choice.Class
+		key   string
+		want  time.Duration // from now; 0 for no longer than it takes
+	}{
+		"safe":                 {choice.Class{Effect: choice.Safe}, "", 10 * time.Second},
+		"keyed":                {choice.Class{Effect: choice.Keyed, Window: 4 * time.Second}, "k", 2 * time.Second},
+		"keyed, a long window": {choice.Class{Effect: choice.Keyed, Window: time.Minute}, "k", 10 * time.Second},
+		"unsafe":               {choice.Class{Effect: choice.Unsafe}, "", 20 * time.Second},
+		"in turn":              {choice.Class{Effect: choice.Unsafe, Ordered: true}, "k", 0},
+	} {
+		n.cfg.Settings.Classes = []choice.Class{c.class}
+		got := n.undecidedTo(&past{key: c.key, deadline: now.Add(20 * time.Second)}, now)
+		if want := now.Add(c.want); (c.want == 0) != got.IsZero() || (c.want > 0 && !got.Equal(want)) {
+			t.Errorf("%s: to %v", name, got.Sub(now))
+		}
+	}
+}
