At an endpoint that refuses some calls more connections rest before one is shared

What callers saw: at a sound endpoint that answers every second message with a 410, up to 100 of 350 delivered messages were reported as failed: the response to the next call on a shared connection was another one, and settled nothing.

Change: for 5 s after a response other than a pass up to 256 connections rest, not 64, and connections in doubt are left alone. An endpoint that passes over a request for its connection's end is not asked again, and such a connection takes no further request, as the protocol has it.

--- a/internal/node/pairing/pairing.go
+++ b/internal/node/pairing/pairing.go
@@ -119,8 +119,8 @@
 }
 
 // Mark notes that the request which goes out asks for the end of the connection: a response that says so is its own, and proves those before it, since
-// responses come in order.
-func (t *Tracker) Mark() { t.marked = true }
+// responses come in order. No further request goes out.
+func (t *Tracker) Mark() { t.marked, t.last = true, true }
 
 // Withdraw takes back a request of which no byte went out.
 func (t *Tracker) Withdraw() {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -26,10 +26,14 @@
 	// mostUndecided is how many connections to an endpoint rest, or wait for quiet, before one of them takes a call without it. It is above the slots
 	// of most nodes: the last call on a connection that did not rest may have run, as far as is known.
 	mostUndecided = 64
+	// mostRefusing takes its place at an endpoint that refuses some calls: responses that differ settle none before them.
+	mostRefusing = 4 * mostUndecided
 	// copySpan is for how long a copy of a response may follow it: what a server takes to write it, and a lost packet to be sent again.
 	copySpan = 250 * time.Millisecond
 	// clearAfter is for how long a response is in doubt until the next call goes there and asks for the connection's end, which proves both.
 	clearAfter = time.Second
+	// refusingFor is for how long an endpoint counts as refusing after a response other than a pass.
+	refusingFor = 5 * time.Second
 	// scarceFor is for how long an endpoint's places count as scarce after all its connections were given back twice in that time. Then
 	// each call has a connection of its own: one that waits for quiet holds its place for longer than the call.
 	scarceFor = 5 * time.Second
@@ -60,7 +64,9 @@
 	waiting    int                // of undecided
 	took       map[string]time.Duration
 	variety    map[string]*pairing.Variety // of the responses of each endpoint
+	endless    map[string]bool             // endpoints that pass over a request for their connection's end
 	distrusted expiring                    // endpoints that said too much
+	refusing   expiring                    // endpoints that said something else than a pass lately: a response in doubt would be followed by another one
 	givenBack  expiring                    // endpoints whose connections were all given back lately
 	scarce     expiring                    // those at which that happened twice
 	surpluses  int                         // responses that answered no call, or were taken for another's
@@ -73,7 +79,7 @@
 	return &pool{
 		connect: (&net.Dialer{Timeout: dialTimeout}).DialContext, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
 		restFor: copySpan, log: log, idle: map[string][]*conn{}, undecided: map[string][]*conn{}, took: map[string]time.Duration{},
-		variety: map[string]*pairing.Variety{},
+		variety: map[string]*pairing.Variety{}, endless: map[string]bool{},
 	}
 }
 
@@ -243,7 +249,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept, now := p.idle[id], time.Now()
-	if k := p.doubtedFor(id, clearAfter, now); k != nil {
+	if k := p.doubtedFor(id, clearAfter, now); k != nil && !p.endless[id] {
 		x.ends = true
 		p.dropUndecided(k)
 		return k
@@ -256,9 +262,12 @@
 	}
 	waiting := p.undecided[id]
 	count := len(kept) + len(waiting)
-	room := count < mostUndecided && p.size+p.waiting < p.maxIdle
+	most, doubted := mostUndecided, p.doubtedFor(id, leastQuiet, now)
+	if p.refusing.has(id) {
+		most, doubted = mostRefusing, nil
+	}
+	room := count < most && p.size+p.waiting < p.maxIdle
 	usable := slices.IndexFunc(kept, func(k *conn) bool { return !x.once || !k.mixed })
-	doubted := p.doubtedFor(id, leastQuiet, now)
 	switch {
 	case doubted != nil && !room: // its response tells of the one before
 		p.dropUndecided(doubted)
@@ -374,6 +383,16 @@
 		kind = r.Named
 	}
 	p.variety[endpoint].Add(kind)
+	if !r.Pass {
+		p.refusing.add(endpoint, refusingFor)
+	}
+}
+
+// passesOver notes that an endpoint passed over a request for its connection's end.
+func (p *pool) passesOver(endpoint string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endless[endpoint] = true
 }
 
 // decided takes a connection out of those that wait for quiet.
@@ -474,6 +493,7 @@
 	p.endDoubtsLocked(id)
 	delete(p.took, id)
 	delete(p.variety, id)
+	delete(p.endless, id)
 	if p.givenBack.has(id) {
 		p.scarce.add(id, scarceFor)
 	}
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -117,6 +117,9 @@
 	r.pairing.Final = !r.goesOn
 	if x != nil && x.ends {
 		r.result.HungUp = false // as it was asked to
+		if r.goesOn {
+			p.passesOver(k.endpoint)
+		}
 	}
 	verdict := k.tracker.Response(r.pairing)
 	inOrder := x != nil && x.ends && verdict == pairing.Own
