--- a/choice/choice.go
+++ b/choice/choice.go
@@ -417,7 +417,8 @@
 	case e.Closed || e.Outcome == Pass:
 		s.finish(m, nil)
 	case m.out > 0: // another copy is out and may still pass
-	case s.now >= m.dropDead-s.t.EndMargin, m.mayBeOver, e.inDoubt(ran).Next(m.class.Effect) == EndOnly, s.spent(m):
+	case s.now >= m.dropDead-s.t.EndMargin, s.spent(m),
+		m.mayBeOver, e.inDoubt(ran).Next(m.class.Effect) == EndOnly:
 		s.giveUp(m)
 	default:
 		if !e.worn() && (ran || e.Outcome == NoRoute) {
@@ -428,7 +429,8 @@
 	}
 }
 
-// inDoubt are the replies that an attempt may have had which did not pass. One that is proven not to have run has only those it names.
+// inDoubt are the replies that an attempt may have had which did not pass. One that is proven not to have
+// run has only those it names.
 func (e Ended) inDoubt(ran bool) Replies {
 	if !ran {
 		return e.Replies | RepliesOf(ReplyRefused)
