A body without memory, and a message, cost no more memory than their bounds allow

Cause: a whole run of the checks failed in TestACrowdOfClientsWithLargeRequestsStaysInMemory (57.3 MB resident of 32): had each client without memory hold a copy's buffer, what it had read, and a deeper stack. By then TestCost failed as well: 7,179 bytes a message, 6,800 at most.

Change: such a body goes through the connection's own buffer into a small hash, and its request is read as any other once it is whole. The engine compares it with the body that it has; of a message that has ended it can't, and says that it failed, which promises nothing. The end of a call tells of a part of a response by a pointer, numbers of exchanges and spans are small, and the beginning of a body is looked at in the connection's buffer.

The test of repeats waits until the memory is short, which it was not at once in one of two runs.

--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -178,25 +178,25 @@
 	if a.BeginBy > 0 {
 		out.BeginBy = n.wall(a.BeginBy)
 	}
-	out.UndecidedTo = n.undecidedTo(p, now)
+	out.UndecidedFor = n.undecidedFor(p, now)
 	return leg{name, p, out}
 }
 
-// undecidedTo is until when an attempt of a message that begins now may stay undecided. What may be repeated has half of the time left for that, by its
+// undecidedFor is for how long an attempt of a message that begins now may stay undecided. What may be repeated has half of the time left for that, by its
 // deadline and by the window in which repeats are dropped; for any other message there is nothing else to do. One for whose end others of its key wait
 // has no time for that.
-func (n *Engine) undecidedTo(p *past, now time.Time) time.Time {
+func (n *Engine) undecidedFor(p *past, now time.Time) time.Duration {
 	class := n.cfg.Settings.Classes[p.class]
 	left := p.deadline.Sub(now)
 	switch {
 	case class.Ordered && p.key != "":
-		return time.Time{}
+		return 0
 	case class.Effect == choice.Unsafe:
-		return p.deadline
+		return left
 	case class.Effect == choice.Keyed:
 		left = min(left, class.Window)
 	}
-	return now.Add(left / 2)
+	return left / 2
 }
 
 // begin makes a call.
--- a/delivery/identity.go
+++ b/delivery/identity.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"hash"
+	"hash/maphash"
 	"time"
 )
 
@@ -19,20 +20,22 @@
 
 // Unkept is a message's body that is read without being kept. The body is written to it. It is used by one goroutine at a time.
 type Unkept struct {
-	// After is when its client may come again, if the message was not taken on before.
-	After  time.Duration
-	digest digester
+	After time.Duration // when its client may come again, if the message was not taken on before
+	hash  maphash.Hash
 }
 
-// NewUnkept begins the body of a message, of which all else is known.
-func NewUnkept(m Message, after time.Duration) *Unkept {
+// NewUnkept begins a body.
+func NewUnkept(after time.Duration) *Unkept {
 	u := &Unkept{After: after}
-	u.digest.begin(m.Class, m.Tenant, m.Dest, m.Key)
+	u.hash.SetSeed(nameSeed)
 	return u
 }
 
 // Write takes the next part of the body. It never fails.
-func (u *Unkept) Write(part []byte) (int, error) { return u.digest.hash.Write(part) }
+func (u *Unkept) Write(part []byte) (int, error) { return u.hash.Write(part) }
+
+// isBody tells whether it is a body that was kept.
+func (u *Unkept) isBody(body []byte) bool { return u.hash.Sum64() == maphash.Bytes(nameSeed, body) }
 
 // digester makes digests. The zero value is ready; it is used by one goroutine at a time.
 type digester struct {
@@ -43,13 +46,6 @@
 
 // of is the digest of a message's content.
 func (d *digester) of(class, tenant, dest int, key string, body []byte) contentDigest {
-	d.begin(class, tenant, dest, key)
-	d.hash.Write(body) // never fails
-	return d.end()
-}
-
-// begin begins a digest. The body is written to the hash next.
-func (d *digester) begin(class, tenant, dest int, key string) {
 	if d.hash == nil {
 		d.hash = sha256.New()
 	}
@@ -60,10 +56,7 @@
 	d.head = append(d.head, key...)
 	d.hash.Reset()
 	d.hash.Write(d.head) // never fails
-}
-
-// end is the digest of what was written since it was begun.
-func (d *digester) end() contentDigest {
+	d.hash.Write(body)
 	d.sum = d.hash.Sum(d.sum[:0])
 	return max(contentDigest(binary.LittleEndian.Uint64(d.sum)), 1)
 }
@@ -79,17 +72,26 @@
 // ofMessage is the digest of a message that is handed in.
 func (d *digester) ofMessage(m Message) contentDigest {
 	if m.Unkept != nil {
-		return m.Unkept.digest.end()
+		return 0
 	}
 	return d.of(m.Class, m.Tenant, m.Dest, m.Key, m.Body)
 }
 
 // isMessage tells whether a message that is handed in is the one that the journal has under its ID.
 func (n *Engine) isMessage(p *past, m Message) bool {
-	if p.ended != nil || m.Unkept != nil {
-		return n.digester.ofPast(p).matches(n.digester.ofMessage(m))
+	if p.ended != nil {
+		return p.ended.content.matches(n.digester.ofMessage(m))
+	}
+	return isOpenMessage(p, m)
+}
+
+// isOpenMessage is isMessage for one that has not ended.
+func isOpenMessage(p *past, m Message) bool {
+	same := p.class == m.Class && p.tenant == m.Tenant && p.dest == m.Dest && p.key == m.Key
+	if m.Unkept != nil {
+		return same && m.Unkept.isBody(p.body)
 	}
-	return p.class == m.Class && p.tenant == m.Tenant && p.dest == m.Dest && p.key == m.Key && bytes.Equal(p.body, m.Body)
+	return same && bytes.Equal(p.body, m.Body)
 }
 
 // isSame tells whether two messages that journals have are the same one.
--- a/delivery/repeats.go
+++ b/delivery/repeats.go
@@ -138,6 +138,8 @@
 func (n *Engine) answerRepeat(a arrival, state State) {
 	n.log.Info("message handed in again", "message", a.ID, "class", a.Class, "destination", a.Dest, "ended", state.String())
 	switch {
+	case a.Unkept != nil && state != Returned:
+		a.answer(messageFailed) // whether it is the same message can't be told any more
 	case !a.front.NewIDs || state == Delivered:
 		n.acts = append(n.acts, act{do: func() { a.reply <- Answer{} }})
 	case state == Returned:
@@ -164,12 +166,16 @@
 		}
 	}
 	switch {
+	case p != nil && !ended && a.Unkept != nil && !isOpenMessage(p, a.Message):
+		return refusal
 	case a.life != nil || (p == nil && !ended) || !end.content.matches(own.ofMessage(a.Message)):
 		return refusal
 	case p != nil && n.hold.by[p] != nil:
 		return Answer{Failed: errMayStand.Error()}
 	case p != nil && p.again():
 		return messageFailed
+	case ended && a.Unkept != nil && end.state != Returned:
+		return messageFailed
 	case p != nil && !ended, !a.front.NewIDs, end.state == Delivered:
 		return Answer{}
 	case end.state == Returned:
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -21,8 +21,8 @@
 	Fresh    bool      // not on a connection that was used before
 	Once     bool      // it must not run twice
 	Number   int       // among the message's attempts, from 0
-	// UndecidedTo is until when the result may stay undecided, if only time can tell; zero for no longer than it takes to see that.
-	UndecidedTo time.Time
+	// UndecidedFor is for how long, from the begin, the result may stay undecided if only time can tell; 0 for no longer than it takes to see that.
+	UndecidedFor time.Duration
 	// Settle takes the final result, once, of an attempt whose result was undecided; nil says that the result stands. It may be called by
 	// another goroutine, and before the attempt has returned. If there is none, the attempt returns when its result is final.
 	Settle func(*Result)
@@ -50,12 +50,12 @@
 	HungUp bool          // the partner closes the connection after its answer
 	Report choice.Report
 	Heard  time.Time // when the answer began, if that is known; it may take its time from there on
-	// Replies are those that the message may have had, where that can't be told: it is then never sent again if one of them says that it is over.
-	Replies choice.Replies
 	// On is where the response came.
 	On Exchange
 	// Undecided says that the answer may be another call's. The slot is free; what became of the message is told by Attempt.Settle.
 	Undecided bool
+	// Replies are those that the message may have had, where that can't be told: it is then never sent again if one of them says that it is over.
+	Replies choice.Replies
 
 	Refused bool  // with Closed: the partner has answered that it will not do it
 	Code    int   // with Refused: the partner's own number for why
@@ -65,9 +65,9 @@
 
 // Exchange names a request and its response, for the log. The zero value is of a carrier that does not number them.
 type Exchange struct {
-	Connection uint64 // among all of the carrier
-	Number     int    // among the requests on it, from 1
-	Status     int    // of the response; 0 for none that could be read
+	Connection uint32 // among all of the carrier
+	Number     uint16 // among the requests on it, from 1
+	Status     uint16 // of the response; 0 for none that could be read
 }
 
 // outcome is what the module may believe. That nothing ran takes a proof, and a proof counts whatever ended the call.
--- a/internal/faults/clients/repeat_test.go
+++ b/internal/faults/clients/repeat_test.go
@@ -48,6 +48,11 @@
 			}
 			held.Wait()
 			refused, others := 0, 0
+			for end := time.Now().Add(time.Second); refused == 0 && time.Now().Before(end); others++ {
+				if got := hand(fmt.Sprint("early-", others), body(7)); strings.HasPrefix(got, "-BUSY") {
+					refused++
+				}
+			}
 			for end := time.Now().Add(600 * time.Millisecond); time.Now().Before(end); {
 				if got := hand(fmt.Sprint("new-", others), body(7)); strings.HasPrefix(got, "-BUSY") {
 					refused++
--- a/internal/node/batches.go
+++ b/internal/node/batches.go
@@ -69,9 +69,7 @@
 	last := all[0]
 	for _, a := range all {
 		last.Fresh, last.Once = last.Fresh || a.Fresh, last.Once || a.Once
-		if a.UndecidedTo.Before(last.UndecidedTo) {
-			last.UndecidedTo = a.UndecidedTo
-		}
+		last.UndecidedFor = min(last.UndecidedFor, a.UndecidedFor)
 		if a.NotPast.After(last.NotPast) {
 			last.NotPast = a.NotPast
 		}
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"time"
+
+	"starlingusher/delivery"
+)
 
 const (
 	// bodyUnit is what large bodies are counted in, in bytes. Those that fit into a client's buffer are not counted, and wait for nobody.
@@ -62,6 +66,7 @@
 	memory bodyMemory
 	before func() // is called before a wait: it gives back what the same client holds for nothing
 	units  int
+	unkept *delivery.Unkept // the body that there was no memory for; nil for none
 }
 
 // grow makes room for so many bytes in all, and tells whether there was any.
@@ -83,6 +88,12 @@
 	return true
 }
 
+// pass begins a body that is not kept.
+func (r *bodyRoom) pass() *delivery.Unkept {
+	r.unkept = delivery.NewUnkept(bodyWait)
+	return r.unkept
+}
+
 // detach returns the units of the request that was read. Give is called with them once their message is answered.
 func (r *bodyRoom) detach() int {
 	units := r.units
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -10,7 +10,6 @@
 	"log/slog"
 	"net"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -334,11 +333,7 @@
 			return
 		}
 		requests++
-		var unkept *unkeptRequest
-		args, err := readCommand(r, &s.room, func(words [][]byte) io.Writer {
-			unkept = c.unkept(words, came)
-			return unkept
-		})
+		args, err := readCommand(r, &s.room)
 		var p promise
 		switch {
 		case err == nil:
@@ -346,7 +341,7 @@
 		case errors.Is(err, errTooLarge):
 			p = failed(err)
 		case errors.Is(err, errCrowded):
-			p = c.answerUnkept(unkept, args)
+			p = c.answerUnkept(args, came, s.room.unkept)
 		case errors.Is(err, errProtocol), errors.Is(err, os.ErrDeadlineExceeded):
 			if !errors.Is(err, errProtocol) {
 				err = fmt.Errorf("%w: the request took too long", errProtocol)
@@ -389,42 +384,18 @@
 	return failed(errUnknownCommand)
 }
 
-// unkeptRequest is a request whose body is read and not kept: there is no memory for it.
-type unkeptRequest struct {
-	message delivery.Message
-	err     error // why it is no request for the engine
-}
-
-// Write takes a part of the body.
-func (u *unkeptRequest) Write(part []byte) (int, error) {
-	if u.err != nil {
-		return len(part), nil
-	}
-	return u.message.Unkept.Write(part)
-}
-
-// unkept begins a request whose body is not kept, by its words before that.
-func (c *clients) unkept(words [][]byte, came time.Time) *unkeptRequest {
-	if !strings.EqualFold(string(words[0]), "ENQUEUE") {
-		return &unkeptRequest{err: errUnknownCommand}
-	}
-	m, err := parseEnqueue(append(slices.Clip(words), nil), c.names, came)
-	if err == nil {
-		m.Unkept = delivery.NewUnkept(m, bodyWait)
-	}
-	return &unkeptRequest{m, err}
-}
-
 // answerUnkept answers a request whose body was not kept. Only the engine knows whether its message is taken on already, and whether coming again
 // would do harm.
-func (c *clients) answerUnkept(u *unkeptRequest, args [][]byte) promise {
-	switch {
-	case u.err != nil:
-		return failed(u.err)
-	case len(args) != enqueueWords:
-		return failed(errWordCount)
+func (c *clients) answerUnkept(args [][]byte, came time.Time, body *delivery.Unkept) promise {
+	if !strings.EqualFold(string(args[0]), "ENQUEUE") {
+		return failed(errUnknownCommand)
+	}
+	m, err := parseEnqueue(args, c.names, came)
+	if err != nil {
+		return failed(err)
 	}
-	return promise{answer: c.offer(u.message)}
+	m.Unkept = body
+	return promise{answer: c.offer(m)}
 }
 
 // linger lets the client read the last answer: closing over unread bytes would reset the connection and take
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -21,7 +21,7 @@
 // where a watch that had to be called back and a read of the call's own cost one more each.
 type conn struct {
 	net.Conn
-	number         uint64 // among all of the pool
+	number         uint32 // among all of the pool
 	endpoint, addr string
 	limit          *io.LimitedReader
 	br             *bufio.Reader
@@ -36,7 +36,7 @@
 	undecided *call     // whose response, the one that came last, may be a copy; nil for none
 	doubted   bool      // silence does not settle undecided
 	previous  *call     // that was undecided when the call went out: the next response tells of it
-	requests  int       // that went out
+	requests  uint16    // that went out
 	gone      bool      // nothing more comes of it
 	last      *call     // that went out on it
 	heard     time.Time // when the last response came; zero for none yet
@@ -47,9 +47,10 @@
 type call struct {
 	message  string // of the call, or the first of them
 	endpoint *delivery.Endpoint
-	once     bool      // it must not run twice
-	until    time.Time // it may stay undecided for so long; under the connection's lock
-	ends     bool      // its request asks for the end of the connection
+	once     bool          // it must not run twice
+	ends     bool          // its request asks for the end of the connection
+	sending  bool          // the first byte may have gone out; under the connection's lock
+	until    time.Duration // it may stay undecided for so long since processStart; under the connection's lock
 	request  []byte
 	end      chan callEnd     // takes the one end that there is, without blocking
 	answer   answer           // that came; for an undecided call the one that counts if nothing follows
@@ -60,16 +61,18 @@
 	settle func(*delivery.Result) // of a call with one message: see delivery.Attempt
 	done   func(*answer)          // takes the place of settling; nil for no such
 
-	sending bool              // the first byte may have gone out; under the connection's lock
-	on      delivery.Exchange // likewise; without a status
-	sentAt  time.Time
+	on     delivery.Exchange // without a status; under the connection's lock
+	sentAt time.Time
 }
 
+// processStart is what spans of calls count from, on the monotonic clock: a time of its own takes three times the room.
+var processStart = time.Now()
+
 // newCall is a call that has no connection yet.
 func newCall(request []byte) *call { return &call{request: request, end: make(chan callEnd, 1)} }
 
 // exchanged names the exchange, with the status of the response that came; 0 for none.
-func (x *call) exchanged(status int) delivery.Exchange {
+func (x *call) exchanged(status uint16) delivery.Exchange {
 	on := x.on
 	on.Status = status
 	return on
@@ -96,7 +99,15 @@
 	reuse     bool // the connection is good for another call
 	undecided bool // the reader keeps the connection, and settles the call later
 	err       error
-	came      answer // with err: as much of a response as came
+	came      *answer // with err: as much of a response as came; nil for nothing
+}
+
+// partial is as much of a response as came.
+func (e callEnd) partial() answer {
+	if e.came == nil {
+		return answer{}
+	}
+	return *e.came
 }
 
 // settled gives an undecided call its final answer; nil if the one that came stands.
@@ -253,7 +264,7 @@
 			if end.undecided {
 				return end
 			}
-			if came = end.came; end.err == nil {
+			if came = end.partial(); end.err == nil {
 				came = x.answer
 			}
 		}
@@ -264,7 +275,7 @@
 	if end.err == nil {
 		return end
 	}
-	x.answer = x.unknown(end.err, end.came)
+	x.answer = x.unknown(end.err, end.partial())
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded), ctx.Err() == nil && !time.Now().Before(c.NotPast):
 		x.answer.result.Outcome = choice.TooSlow
@@ -314,7 +325,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.doubted && k.undecided != nil {
-		k.undecided.until = time.Time{}
+		k.undecided.until = 0
 		k.SetReadDeadline(time.Now()) // an error says that it is closed, which ends its reader
 	}
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -55,7 +55,7 @@
 	restFor time.Duration // until a connection that had a response takes another call, where responses may be alike
 	log     *slog.Logger
 
-	connections atomic.Uint64 // that were made
+	connections atomic.Uint32 // that were made
 
 	mu         sync.Mutex
 	idle       map[string][]*conn // by endpoint; the last one was used last
@@ -125,7 +125,7 @@
 // call makes the call of an attempt, on a kept connection or a new one, and returns what came of it, with the connection of a call that is
 // undecided.
 func (p *pool) call(ctx context.Context, c delivery.Attempt, x *call) (answer, *conn) {
-	x.message, x.endpoint, x.once, x.until = c.ID, c.Endpoint, c.Once, c.UndecidedTo
+	x.message, x.endpoint, x.once, x.until = c.ID, c.Endpoint, c.Once, time.Since(processStart)+c.UndecidedFor
 	if now := time.Now(); !c.MayBegin(now) || ctx.Err() != nil || !now.Before(c.NotPast) {
 		return notSent(choice.Stale, nil), nil
 	}
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -72,10 +72,10 @@
 		k.mu.Unlock()
 		return true // a call took it just now
 	}
-	if wait := time.Until(u.until); wait > 0 && !k.tracker.Settles() {
+	if wait := u.until - time.Since(processStart); wait > 0 && !k.tracker.Settles() {
 		defer k.mu.Unlock()
 		k.doubted = true
-		return k.SetReadDeadline(u.until) == nil
+		return k.SetReadDeadline(time.Now().Add(wait)) == nil
 	}
 	k.undecided, k.doubted = nil, false
 	proven := k.tracker.Quiet()
@@ -177,7 +177,8 @@
 		u.settled(&a)
 	case x != nil:
 		p.surplus(k, r, verdict, "the call may have run")
-		x.end <- callEnd{err: errAmbiguous, came: r.answer}
+		came := r.answer
+		x.end <- callEnd{err: errAmbiguous, came: &came}
 	}
 	return false
 }
@@ -227,7 +228,8 @@
 	k.mu.Unlock()
 	p.discard(k)
 	if x != nil {
-		x.end <- callEnd{err: err, came: came}
+		part := came
+		x.end <- callEnd{err: err, came: &part}
 	}
 	for _, u := range undecided {
 		if u != nil {
--- a/internal/node/resp.go
+++ b/internal/node/resp.go
@@ -26,12 +26,9 @@
 // errCrowded is a request that was read to its end, and for whose body there was no memory. Its words come with it, the body empty.
 var errCrowded = errors.New("no memory for the body")
 
-// passing is called with the words before a body that there is no memory for, and returns what the body is written to in place of being kept.
-type passing func(words [][]byte) io.Writer
-
 // readCommand reads an array of bulk strings or an inline command, within bounds, and a body into the room that there is for it. Empty commands
 // are passed over.
-func readCommand(r *bufio.Reader, room *bodyRoom, pass passing) ([][]byte, error) {
+func readCommand(r *bufio.Reader, room *bodyRoom) ([][]byte, error) {
 	for range maxEmpty {
 		line, err := readLine(r)
 		if err != nil {
@@ -39,7 +36,7 @@
 		}
 		var args [][]byte
 		if len(line) > 0 && line[0] == '*' {
-			args, err = readArray(r, line[1:], room, pass)
+			args, err = readArray(r, line[1:], room)
 		} else {
 			args = bytes.Fields(bytes.Clone(line))
 		}
@@ -53,7 +50,7 @@
 	return nil, fmt.Errorf("%w: nothing but empty commands", errProtocol)
 }
 
-func readArray(r *bufio.Reader, length []byte, room *bodyRoom, pass passing) ([][]byte, error) {
+func readArray(r *bufio.Reader, length []byte, room *bodyRoom) ([][]byte, error) {
 	count, err := number(string(length))
 	if err != nil || count > maxArgs {
 		return nil, fmt.Errorf("%w: invalid multibulk length", errProtocol)
@@ -85,7 +82,7 @@
 			}
 			size = 0
 		}
-		arg, err := readBulk(r, size, room, func() io.Writer { return pass(args) })
+		arg, err := readBulk(r, size, room)
 		if errors.Is(err, errCrowded) {
 			crowded = true
 		} else if err != nil {
@@ -103,12 +100,12 @@
 }
 
 // readBulk reads a bulk string and the end of its line. Room is made as the bytes come, not as they are announced. Where there is none, the string is
-// written to what pass returns, and the error is errCrowded.
-func readBulk(r *bufio.Reader, size int, room *bodyRoom, pass func() io.Writer) ([]byte, error) {
+// written to room.unkept, and the error is errCrowded.
+func readBulk(r *bufio.Reader, size int, room *bodyRoom) ([]byte, error) {
 	whole := size + len(lineEnd)
 	first := min(whole, r.Size())
 	if whole > first && !room.grow(first) {
-		return nil, passBulk(r, size, pass())
+		return nil, passRest(r, size, "", room.pass())
 	}
 	arg := make([]byte, first)
 	if _, err := io.ReadFull(r, arg); err != nil {
@@ -117,11 +114,12 @@
 	for have := len(arg); have < whole; have = len(arg) {
 		more := min(have, whole-have)
 		if !room.grow(have + more) {
-			to, body := pass(), arg[:min(have, size)]
+			to, body := room.pass(), arg[:min(have, size)]
 			if _, err := to.Write(body); err != nil {
 				return nil, err
 			}
-			return nil, passRest(r, size-len(body), arg[len(body):], to)
+			end := string(arg[len(body):]) // a copy, so that what was read is not held until the rest has come
+			return nil, passRest(r, size-len(body), end, to)
 		}
 		arg = append(arg, make([]byte, more)...)
 		if _, err := io.ReadFull(r, arg[have:]); err != nil {
@@ -134,21 +132,28 @@
 	return arg[:size:size], nil
 }
 
-// passBulk writes a bulk string to another place, and reads past the end of its line. Its error is never nil.
-func passBulk(r *bufio.Reader, size int, to io.Writer) error {
-	return passRest(r, size, nil, to)
-}
-
-// passRest is passBulk for what is left of a bulk string, of whose line's end a part may have been read.
-func passRest(r *bufio.Reader, left int, end []byte, to io.Writer) error {
-	if _, err := io.CopyN(to, r, int64(left)); err != nil {
-		return unexpected(err)
+// passRest writes what is left of a bulk string to another place, and reads past the end of its line, of which a part may have been read. Its error
+// is never nil.
+func passRest(r *bufio.Reader, left int, end string, to io.Writer) error {
+	for left > 0 { // from the reader's own buffer: io.Copy would take another one for each client
+		if _, err := r.Peek(1); err != nil {
+			return unexpected(err)
+		}
+		part, err := r.Peek(min(left, r.Buffered()))
+		if err == nil {
+			_, err = to.Write(part)
+		}
+		if err != nil {
+			return err
+		}
+		left -= len(part)
+		r.Discard(len(part)) // what is buffered can be discarded
 	}
 	rest := make([]byte, len(lineEnd)-len(end))
 	if _, err := io.ReadFull(r, rest); err != nil {
 		return unexpected(err)
 	}
-	if string(end)+string(rest) != lineEnd {
+	if end+string(rest) != lineEnd {
 		return errBulkLength
 	}
 	return errCrowded
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -79,7 +79,7 @@
 		if code >= http.StatusOK {
 			r.status, r.result.Heard = code, heard
 			r.said |= choice.RepliesOf(replyOf(code))
-			r.result.On.Status = code
+			r.result.On.Status = uint16(code)
 			return r, nil
 		}
 	}
@@ -97,7 +97,7 @@
 	told := response{answer: answer{states: r.states, said: r.said}, status: status}
 	if status >= http.StatusOK {
 		told.said |= choice.RepliesOf(replyOf(status))
-		told.result.On.Status = status
+		told.result.On.Status = uint16(status)
 	}
 	return told
 }
@@ -213,22 +213,21 @@
 	if first {
 		return r, discard(resp.Body)
 	}
-	var body holder
-	err = discard(io.TeeReader(resp.Body, &body))
-	r.said = repliesWithin(body)
-	return r, err
+	r.said, err = k.repliesInBody(resp.ContentLength)
+	if err != nil {
+		return r, err
+	}
+	return r, discard(resp.Body)
 }
 
 // mostHeld is how much of a body is looked at, in bytes: more than a response without a body of its own takes.
 const mostHeld = 512
 
-// holder keeps the beginning of what is written to it.
-type holder []byte
-
-// Write implements io.Writer. It never fails.
-func (h *holder) Write(b []byte) (int, error) {
-	*h = append(*h, b[:min(len(b), mostHeld-len(*h))]...)
-	return len(b), nil
+// repliesInBody looks at the beginning of a body, and at what came with it, for a response that is taken for a part of it.
+func (k *conn) repliesInBody(length int64) (choice.Replies, error) {
+	want := min(max(int64(k.br.Buffered()), length), mostHeld)
+	seen, err := k.br.Peek(int(want))
+	return repliesWithin(seen), err
 }
 
 // readStates reads the body of a response to a call with several messages.
