The states of a call with several are read before its response is returned

Need: a last reading of the change. readWhole returned r beside a call that changes r; in which order Go reads the variable and makes the call is not specified, so that states could be lost with another compiler.

Behaviour with this compiler is the same. The tests of calls with several, spoilt responses and copies pass; the whole checks were not run again.

--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -208,7 +208,8 @@
 	r.pairing.Pass = resp.StatusCode == http.StatusOK
 	if all != nil {
 		r.result.NotRun = r.result.NotRun || turnedDown(resp.StatusCode)
-		return r, r.readStates(resp, all)
+		err = r.readStates(resp, all) // before r is returned, which it changes
+		return r, err
 	}
 	if first {
 		return r, discard(resp.Body)
