Rigs of fleets that talk tell what was missing last, each node's state and its log's end

Change: a question that the end of the wait cuts short does not count; errors name the node; where a round fails, its error has the history's faults, the state of each process and the end of each log.

--- a/internal/faults/repair.go
+++ b/internal/faults/repair.go
@@ -73,13 +73,15 @@
 	ctx, cancel := context.WithTimeout(ctx, f.o.Patience)
 	defer cancel()
 	r := newRepair(f.o.Copies)
+	why := "nothing was heard"
 	for {
-		why := ""
-		if all, err := f.copyStatus(ctx); err != nil {
-			why = err.Error()
-		} else {
+		all, err := f.copyStatus(ctx)
+		switch {
+		case err == nil:
 			why = r.look(all)
-		}
+		case ctx.Err() == nil:
+			why = err.Error()
+		} // else the question itself was cut short, and what was heard before counts
 		if why == "" {
 			return time.Since(begun), nil
 		}
@@ -96,7 +98,7 @@
 	for i := range f.nodes {
 		st, err := f.Look(ctx, i)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("n%d: %w", i, err)
 		}
 		if st.Copies == nil {
 			return nil, fmt.Errorf("n%d has no copies yet", i)
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -284,8 +284,11 @@
 	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, f.o.Patience)
 	defer cancel()
+	why := "nothing was heard"
 	for {
-		why := f.apart(ctx)
+		if told := f.apart(ctx); told == "" || ctx.Err() == nil { // else the question itself was cut short
+			why = told
+		}
 		if why == "" {
 			return time.Since(begun), nil
 		}
@@ -303,7 +306,7 @@
 	for i := f.o.Deaf; i < f.o.Nodes; i++ {
 		st, err := f.Look(ctx, i)
 		if err != nil {
-			return err.Error()
+			return fmt.Sprintf("n%d: %v", i, err)
 		}
 		if st.Deaf {
 			return fmt.Sprintf("n%d is deaf", i)
@@ -420,7 +423,7 @@
 	stop()
 	<-loaded
 	if err != nil {
-		return f.history, 0, err
+		return f.history, 0, errors.Join(err, f.history.Check(), f.states())
 	}
 	if err := f.Ends(ctx); err != nil {
 		return f.history, 0, errors.Join(err, f.history.Check())
@@ -428,7 +431,7 @@
 	healed := time.Duration(0)
 	if !o.Silent {
 		if healed, err = f.Agree(ctx); err != nil {
-			return f.history, 0, errors.Join(err, f.history.Check())
+			return f.history, 0, errors.Join(err, f.history.Check(), f.states())
 		}
 	}
 	if err := f.Acted(ctx); err != nil {
