Connections are kept at an endpoint whose calls all began in one moment

Cause: the time between two calls of one moment is 0, and 0 means that it is not known, as after a first call. So the idle connections were given back as such that would end before their next use, at each end of a call; after the second time in 5 s the pool takes the endpoint's places for scarce, and makes a connection for each call.

Mend: the least time that counts is 1 ms (chosen; the value is only held against the idle time of connections).

Evidence: the test of the decisions failed before.

--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -532,6 +532,18 @@
 	}
 }
 
+// Guards against connections that are given back at once at an endpoint whose calls all began in one moment.
+func TestConnectionsOfABurstAreKept(t *testing.T) {
+	cfg := settings()
+	cfg.ConnIdle = 5 * time.Second
+	w := newStory(t, cfg, 1)
+	w.step(0, one(), w.arrive("1", 0, 0), w.arrive("2", 0, 0))
+	w.step(5*ms, w.outcome("1", Pass, 0), w.outcome("2", Pass, 0))
+	if slices.Contains(w.s.actions, Action(HangUp{Endpoint: "a"})) {
+		t.Error("the idle connections were given back")
+	}
+}
+
 // A rare sender has no third call in time: two failures in a row are an outage for it, not for a busy one.
 func TestTwoFailuresAreAnOutageForARareSender(t *testing.T) {
 	for _, c := range []struct {
--- a/choice/release.go
+++ b/choice/release.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// leastGap is the least time that counts between two calls to an endpoint. Calls of one moment would read as
+// a gap that is not known.
+const leastGap = time.Millisecond
+
 // This file releases messages that wait: which goes out next, to which endpoint, under which checks.
 
 // release fills free slots: the waiting destination that had the least slot time of late comes first, so that
@@ -299,7 +303,7 @@
 		r.tokens -= s.t.ItemWeight * float64(len(group)-1)
 	}
 	if e.sentAt > 0 {
-		e.gap = s.ease(e.gap, seconds(s.now-e.sentAt))
+		e.gap = s.ease(e.gap, seconds(max(s.now-e.sentAt, leastGap)))
 	}
 	e.sentAt = s.now
 	s.busy++
