Responses in doubt wait together until the order of all of them on a connection is proven

What callers saw: on a connection that takes calls without rest, a refused message could count as delivered: responses to the two calls before it came twice, and later than the next requests.

Cause: one equal response behind it settled a call, though with two copies in the stream both may be copies; and one that differs had it given up at once, though the next one can tell.

The oldest is settled by more equal responses than copies may be (pairing.MostCopies); all of them by what proves the order: the response to a call that asked for the connection's end, or that end itself, or the idle end. Where responses differ the next call to the endpoint asks for the end at once. A refusal in doubt of what may be repeated waits no longer than silence takes. If nothing tells, a call may have had any response from its own on.

The stand-in for that test ends connections when asked to, as the protocol has it; a form that does not is added. TestAResponseInDoubtIsSettledByWhatComesLater: one equal response is no proof any more, so its row wants "may have run" now, which is stricter, and a row with eight is added.

--- a/internal/faults/clients/over_test.go
+++ b/internal/faults/clients/over_test.go
@@ -1,11 +1,13 @@
 package clients
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -22,7 +24,8 @@
 
 // overServer turns all messages away until it opens. Then it answers every second one that its message is over, and delivers the others.
 type overServer struct {
-	write func(nc net.Conn, number int) (goesOn bool) // the 410 of that number
+	write   func(nc net.Conn, number int) (goesOn bool) // the 410 of that number
+	endless bool                                        // it passes over requests for a connection's end
 
 	mu        sync.Mutex
 	open      bool
@@ -46,16 +49,37 @@
 	}
 	s.mu.Unlock()
 	text := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	last := req.Close && !s.endless
+	if last {
+		nc = &lastResponse{Conn: nc}
+	}
 	switch {
 	case withdrawn:
-		return s.write(nc, number)
+		return s.write(nc, number) && !last
 	case !open:
 		text = "HTTP/1.1 503 Shut\r\nContent-Length: 0\r\n\r\n"
 	default:
 		time.Sleep(5 * time.Millisecond) // its work
 	}
 	_, err := io.WriteString(nc, text)
-	return err == nil
+	return err == nil && !last
+}
+
+// lastResponse is a connection whose next response says that it is the last one.
+type lastResponse struct {
+	net.Conn
+	said bool
+}
+
+// Write implements io.Writer.
+func (l *lastResponse) Write(text []byte) (int, error) {
+	line, rest, whole := bytes.Cut(text, []byte("\r\n"))
+	if l.said || !whole {
+		return l.Conn.Write(text)
+	}
+	l.said = true
+	_, err := l.Conn.Write(slices.Concat(line, []byte("\r\nConnection: close\r\n"), rest))
+	return len(text), err
 }
 
 // saysGone writes a 410 in pieces, with a pause after each, and tells whether its connection goes on.
@@ -80,6 +104,7 @@
 		stop  os.Signal // ends the node while calls are out, and another process goes on in its folder; nil for none
 	}{
 		{"whole", saysGone(true, 0, whole), nil},
+		{"whole, at connections without end", saysGone(true, 0, whole), nil},
 		{"with a date", func(nc net.Conn, _ int) bool {
 			return saysGone(true, 0, gone+"Date: "+time.Now().UTC().Format(http.TimeFormat)+"\r\nContent-Length: 0\r\n\r\n")(nc, 0)
 		}, nil},
@@ -93,7 +118,7 @@
 		{"half a head", saysGone(false, 0, gone+"Content-Le"), nil},
 		{"half a body", saysGone(false, 0, gone+"Content-Length: 100\r\n\r\nhalf"), nil},
 		{"a length that is no number", saysGone(true, 0, gone+"Content-Length: none\r\n\r\n"), nil},
-		{"a body without end", func(nc net.Conn, _ int) bool {
+		{"a body that goes on", func(nc net.Conn, _ int) bool {
 			saysGone(false, 0, gone+"Content-Length: 100000000\r\n\r\n", strings.Repeat("x", 100_000))(nc, 0)
 			io.Copy(io.Discard, nc) // until the node gives it up
 			return false
@@ -104,7 +129,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			server := &overServer{write: c.write, over: map[string]time.Time{}, again: map[string]time.Duration{}, delivered: map[string]bool{}}
+			server := &overServer{write: c.write, endless: strings.HasSuffix(c.name, "without end"), over: map[string]time.Time{}, again: map[string]time.Duration{}, delivered: map[string]bool{}}
 			endpoint, err := standin.NewRawHTTP(server.serve)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -29,17 +29,17 @@
 
 	idleSince time.Time // while it is kept; of whoever has it
 	mixed     bool      // likewise: a response other than a pass came on it
-
-	mu        sync.Mutex
-	tracker   pairing.Tracker
-	call      *call     // whose response is awaited
-	undecided *call     // whose response, the one that came last, may be a copy; nil for none
-	doubted   bool      // silence does not settle undecided
-	previous  *call     // that was undecided when the call went out: the next response tells of it
-	requests  uint16    // that went out
-	gone      bool      // nothing more comes of it
-	last      *call     // that went out on it
-	heard     time.Time // when the last response came; zero for none yet
+	torn      bool      // under the pool's lock, while it waits for quiet: responses in doubt differ, and its end would tell whose they are
+
+	mu       sync.Mutex
+	tracker  pairing.Tracker
+	call     *call     // whose response is awaited
+	inDoubt  doubts    // with no call out, the last one's response came last
+	doubted  bool      // silence does not settle them
+	requests uint16    // that went out
+	gone     bool      // nothing more comes of it
+	last     *call     // that went out on it
+	heard    time.Time // when the last response came; zero for none yet
 }
 
 // call is a request on one connection, and what becomes of it. The connection's reader writes answer and said until it has sent an end; then they are
@@ -133,22 +133,6 @@
 	}
 }
 
-// followed settles an undecided call by the response that came after the next request. Whichever of both is its own, an equal one says the
-// same; of another one it can't be told.
-func (x *call) followed(r pairing.Response, came answer, proven bool) {
-	if proven {
-		x.settled(nil)
-		return
-	}
-	same := x.all == nil && x.answer.said == came.said && came.said.IsCertain()
-	if same || (r.Fingerprint != 0 && r == x.said) {
-		x.settled(nil)
-		return
-	}
-	a := x.unknown(errAmbiguous, x.answer, came)
-	x.settled(&a)
-}
-
 var (
 	errAmbiguous = errors.New("answer: it can't be told which of several responses it is")
 	errUnproven  = errors.New("answer: it may be a copy of the one before, and silence proves nothing")
@@ -189,11 +173,10 @@
 		return false
 	}
 	rested := k.heard.IsZero() || time.Since(k.heard) >= rest
-	if rested && k.undecided == nil && !k.heard.IsZero() && k.hasUnread() {
+	if rested && k.inDoubt.isEmpty() && !k.heard.IsZero() && k.hasUnread() {
 		return false // a copy, or its end, that the reader has not come to
 	}
-	k.previous, k.undecided, k.doubted = k.undecided, nil, false
-	k.call = x
+	k.call, k.doubted = x, false
 	k.tracker.Request(rested)
 	if x.ends {
 		k.tracker.Mark()
@@ -216,7 +199,7 @@
 		k.call = nil
 		k.tracker.Withdraw()
 	}
-	return !k.gone && k.previous == nil && k.tracker.Reusable()
+	return !k.gone && k.inDoubt.isEmpty() && k.tracker.Reusable()
 }
 
 // abandon takes a call back of which a part was written, and has the connection end. It tells whether the reader had no end of it.
@@ -293,18 +276,35 @@
 	switch {
 	case k.call != nil && k.call.sending:
 		return k.call, k.tracker.First()
-	case k.undecided != nil:
-		return k.undecided, false
+	case k.call == nil && !k.inDoubt.isEmpty():
+		return k.inDoubt.last(), false
 	}
 	k.gone = true
 	return nil, k.tracker.First()
 }
 
-// isDoubted tells whether silence does not settle the undecided call.
+// doubt adds a call to those in doubt, and has the connection wait for quiet until a time. It tells whether the responses differ and a further call may
+// ask for the connection's end. Where none may, only the last of responses that differ is waited for, unless it asked for the end itself.
+func (k *conn) doubt(x *call, endless bool, until time.Time) (settle func(), differ bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.SetReadDeadline(until) // an error says that it is closed, which ends its reader
+	if certain := k.inDoubt.add(x); certain != nil {
+		return func() { certain.settled(nil) }, false
+	}
+	canTell := x.ends || (!endless && k.tracker.Reusable())
+	if k.inDoubt.differ && !canTell {
+		before := k.inDoubt.takeBeforeLast()
+		return func() { before.settleUnknown(errAmbiguous, x.answer) }, false
+	}
+	return func() {}, k.inDoubt.differ && !x.ends
+}
+
+// isDoubted tells whether silence does not settle the calls in doubt.
 func (k *conn) isDoubted() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.doubted && k.undecided != nil && k.tracker.Reusable()
+	return k.doubted && !k.inDoubt.isEmpty() && k.tracker.Reusable()
 }
 
 // isReusable tells whether a further request may go out.
@@ -314,23 +314,30 @@
 	return k.tracker.Reusable()
 }
 
-// isIdleEnd tells whether a connection with an undecided call ended as endpoints end those that have stood idle for as long as the settings say. One on
-// which a call hangs is not idle, and a process that dies resets it. The lock is held.
-func (k *conn) isIdleEnd(err error, idle time.Duration) bool {
-	return k.doubted && k.undecided != nil && k.call == nil && k.previous == nil && errors.Is(err, io.EOF) && time.Since(k.heard) >= idle
+// provesOrder tells whether the end of a connection with calls in doubt says that its endpoint has answered all of them: it was asked for that end, or
+// ends those that have stood idle for as long as the settings say. One on which a call hangs is not idle, and a process that dies resets it. The lock is
+// held.
+func (k *conn) provesOrder(err error, idle time.Duration) bool {
+	if k.call != nil || k.inDoubt.isEmpty() || !errors.Is(err, io.EOF) {
+		return false
+	}
+	return k.inDoubt.last().ends || (k.doubted && time.Since(k.heard) >= idle)
 }
 
-// endDoubt has an undecided call wait no longer for what may tell. Its reader settles it.
+// endDoubt has the calls in doubt wait no longer for what may tell. The reader settles them.
 func (k *conn) endDoubt() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.doubted && k.undecided != nil {
-		k.undecided.until = 0
-		k.SetReadDeadline(time.Now()) // an error says that it is closed, which ends its reader
+	if !k.doubted {
+		return
+	}
+	for _, x := range k.inDoubt.calls {
+		x.until = 0
 	}
+	k.SetReadDeadline(time.Now()) // an error says that it is closed, which ends its reader
 }
 
-// idleFor lets a connection stand idle until a time, and tells whether it can.
+// idleUntil lets a connection stand idle until a time, and tells whether it can.
 func (k *conn) idleUntil(end time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/node/pairing/pairing.go
+++ b/internal/node/pairing/pairing.go
@@ -194,6 +194,9 @@
 // Settles tells whether Quiet would prove the undecided response.
 func (t *Tracker) Settles() bool { return t.state == InStep || (t.state == Undecided && t.proves) }
 
+// Ordered tells whether no more responses came than requests went out, so that the end of the connection proves each to be its request's own.
+func (t *Tracker) Ordered() bool { return t.copies == 0 }
+
 // Last notes that no further request goes out.
 func (t *Tracker) Last() { t.last = true }
 
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -61,7 +61,8 @@
 	idle       map[string][]*conn // by endpoint; the last one was used last
 	size       int                // of idle
 	undecided  map[string][]*conn // by endpoint, those that wait for quiet; the first one has waited for longest
-	waiting    int                // of undecided
+	torn       map[string][]*conn // likewise, those with responses that differ: the next call there asks for the connection's end, which tells whose each is
+	waiting    int                // of undecided and torn
 	took       map[string]time.Duration
 	variety    map[string]*pairing.Variety // of the responses of each endpoint
 	endless    map[string]bool             // endpoints that pass over a request for their connection's end
@@ -78,7 +79,7 @@
 	}
 	return &pool{
 		connect: (&net.Dialer{Timeout: dialTimeout}).DialContext, idleFor: max(connIdle-idleMargin, connIdle/2), maxIdle: maxIdle,
-		restFor: copySpan, log: log, idle: map[string][]*conn{}, undecided: map[string][]*conn{}, took: map[string]time.Duration{},
+		restFor: copySpan, log: log, idle: map[string][]*conn{}, undecided: map[string][]*conn{}, torn: map[string][]*conn{}, took: map[string]time.Duration{},
 		variety: map[string]*pairing.Variety{}, endless: map[string]bool{},
 	}
 }
@@ -249,7 +250,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept, now := p.idle[id], time.Now()
-	if k := p.doubtedFor(id, clearAfter, now); k != nil && !p.endless[id] {
+	if k := p.unclear(id, now); k != nil {
 		x.ends = true
 		p.dropUndecided(k)
 		return k
@@ -261,7 +262,7 @@
 		}
 	}
 	waiting := p.undecided[id]
-	count := len(kept) + len(waiting)
+	count := len(kept) + len(waiting) + len(p.torn[id])
 	most, doubted := mostUndecided, p.doubtedFor(id, leastQuiet, now)
 	if p.refusing.has(id) {
 		most, doubted = mostRefusing, nil
@@ -291,6 +292,17 @@
 	return k
 }
 
+// unclear is a connection of an endpoint whose end would tell whose the responses are that came last; nil for none. The lock is held.
+func (p *pool) unclear(id string, now time.Time) *conn {
+	if p.endless[id] {
+		return nil
+	}
+	if torn := p.torn[id]; len(torn) > 0 {
+		return torn[0]
+	}
+	return p.doubtedFor(id, clearAfter, now)
+}
+
 // doubtedFor is a connection of an endpoint that has been in doubt for some time, and that the endpoint does not close yet; nil for none. The lock is held.
 func (p *pool) doubtedFor(id string, span time.Duration, now time.Time) *conn {
 	for _, k := range p.undecided[id] {
@@ -311,8 +323,10 @@
 }
 
 func (p *pool) endDoubtsLocked(id string) {
-	for _, k := range p.undecided[id] {
-		k.endDoubt()
+	for _, all := range [...][]*conn{p.undecided[id], p.torn[id]} {
+		for _, k := range all {
+			k.endDoubt()
+		}
 	}
 }
 
@@ -339,21 +353,30 @@
 	}
 }
 
+// waitingWith is where a connection that waits for quiet is; the lock is held.
+func (p *pool) waitingWith(k *conn) map[string][]*conn {
+	if k.torn {
+		return p.torn
+	}
+	return p.undecided
+}
+
 // dropUndecided takes a connection out of those that wait for quiet; the lock is held.
 func (p *pool) dropUndecided(k *conn) {
-	waiting := p.undecided[k.endpoint]
-	i := slices.Index(waiting, k)
+	all := p.waitingWith(k)
+	i := slices.Index(all[k.endpoint], k)
 	if i < 0 {
 		return
 	}
 	p.waiting--
-	if p.undecided[k.endpoint] = slices.Delete(waiting, i, i+1); len(p.undecided[k.endpoint]) == 0 {
-		delete(p.undecided, k.endpoint)
+	if all[k.endpoint] = slices.Delete(all[k.endpoint], i, i+1); len(all[k.endpoint]) == 0 {
+		delete(all, k.endpoint)
 	}
 }
 
-// keepUndecided has a connection wait for quiet. Where too many are kept, one at rest makes room.
-func (p *pool) keepUndecided(k *conn, x *call) {
+// keepUndecided has a connection wait for quiet, with a call whose response is in doubt. Where too many are kept, one at rest makes room. What it returns
+// settles the calls that are not waited for any more; it is to be called without locks.
+func (p *pool) keepUndecided(k *conn, x *call) (settle func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.size > 0 && p.size+p.waiting >= p.maxIdle {
@@ -362,13 +385,12 @@
 			break
 		}
 	}
-	k.mu.Lock()
-	k.undecided = x
-	k.SetReadDeadline(time.Now().Add(p.quietSpanLocked(k.endpoint))) // an error says that it is closed, which ends its reader
-	k.mu.Unlock()
-	k.idleSince = time.Now()
-	p.undecided[k.endpoint] = append(p.undecided[k.endpoint], k)
+	settle, differ := k.doubt(x, p.endless[k.endpoint], time.Now().Add(p.quietSpanLocked(k.endpoint)))
+	k.torn, k.idleSince = differ, time.Now()
+	all := p.waitingWith(k)
+	all[k.endpoint] = append(all[k.endpoint], k)
 	p.waiting++
+	return settle
 }
 
 // heard notes a response of an endpoint.
@@ -388,6 +410,16 @@
 	}
 }
 
+// heardPart notes as much of a response as came before its connection ended.
+func (p *pool) heardPart(endpoint string, came answer) {
+	if came.said == 0 || came.said.Has(choice.ReplyPass) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusing.add(endpoint, refusingFor)
+}
+
 // passesOver notes that an endpoint passed over a request for its connection's end.
 func (p *pool) passesOver(endpoint string) {
 	p.mu.Lock()
@@ -507,9 +539,11 @@
 	for id := range p.idle {
 		ids = append(ids, id)
 	}
-	for _, waiting := range p.undecided {
-		for _, k := range waiting {
-			k.Close() // its reader settles the call
+	for _, waiting := range [...]map[string][]*conn{p.undecided, p.torn} {
+		for _, all := range waiting {
+			for _, k := range all {
+				k.Close() // its reader settles the calls
+			}
 		}
 	}
 	p.mu.Unlock()
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"starlingusher/choice"
 	"starlingusher/internal/node/pairing"
 )
 
@@ -50,12 +51,12 @@
 // timedOut notes that the time of a connection at rest is over.
 func (p *pool) timedOut(k *conn) bool {
 	k.mu.Lock()
-	x, u := k.call, k.undecided
+	x, waits := k.call, !k.inDoubt.isEmpty()
 	k.mu.Unlock()
 	switch {
 	case x != nil:
 		return true // a call took it just now, and the deadline is gone
-	case u == nil:
+	case !waits:
 		p.broken(k, errIdle, answer{})
 		return false
 	case k.hasUnread():
@@ -67,66 +68,76 @@
 // quiet notes that nothing followed a response that might have been a copy.
 func (p *pool) quiet(k *conn) bool {
 	k.mu.Lock()
-	u := k.undecided
+	u := k.inDoubt.last()
 	if u == nil || k.call != nil {
 		k.mu.Unlock()
 		return true // a call took it just now
 	}
-	if wait := u.until - time.Since(processStart); wait > 0 && !k.tracker.Settles() {
-		defer k.mu.Unlock()
-		k.doubted = true
-		return k.SetReadDeadline(time.Now().Add(wait)) == nil
+	if k.tracker.Settles() {
+		k.inDoubt, k.doubted = doubts{}, false
+		k.tracker.Quiet()
+		k.mu.Unlock()
+		p.decided(k)
+		p.give(u.endpoint, k)
+		u.settled(nil)
+		return true
+	}
+	var unclear row
+	if u.ends && k.inDoubt.differ {
+		unclear = k.inDoubt.takeBeforeLast()
+	}
+	settle, over := k.inDoubt.takeOver(time.Since(processStart), errUnproven)
+	waits := !k.inDoubt.isEmpty()
+	k.doubted, k.gone = waits, !waits
+	if waits {
+		wait := k.inDoubt.firstUntil() - time.Since(processStart)
+		k.SetReadDeadline(time.Now().Add(wait)) // an error says that it is closed, which ends its reader
 	}
-	k.undecided, k.doubted = nil, false
-	proven := k.tracker.Quiet()
-	k.gone = !proven
 	k.mu.Unlock()
-	if !proven {
-		p.unproven(k, u)
-		return false
+	if u.ends { // and the connection goes on all the same
+		p.passesOver(k.endpoint)
+	}
+	if over > 0 {
+		p.notBelieved(k, u, over)
 	}
-	p.decided(k)
-	p.give(u.endpoint, k)
-	u.settled(nil)
-	return true
+	if !waits {
+		p.discard(k)
+	}
+	unclear.settleUnknown(errAmbiguous, u.answer)
+	settle()
+	return waits
 }
 
-// unproven ends a connection whose last response may be a copy, with no more to come that would tell: its call may have run.
-func (p *pool) unproven(k *conn, u *call) {
-	p.discard(k)
+// notBelieved notes responses that may be copies, with no more to come in time that would tell.
+func (p *pool) notBelieved(k *conn, last *call, responses int) {
 	p.mu.Lock()
-	p.surpluses++
+	p.surpluses += responses
 	count := p.surpluses
 	p.mu.Unlock()
-	p.log.Info("a response that may be a copy is not believed", "endpoint", k.endpoint, "message", u.message, "count", count)
-	a := u.unknown(errUnproven, u.answer)
-	u.settled(&a)
+	p.log.Info("a response that may be a copy is not believed", "endpoint", k.endpoint, "message", last.message, "responses", responses, "count", count)
 }
 
 // received notes a response that came whole, and tells whether the connection goes on.
 func (p *pool) received(k *conn, r response) bool {
 	p.heard(k.endpoint, r.pairing)
 	k.mu.Lock()
-	x, u, previous := k.call, k.undecided, k.previous
-	if x == nil && u == nil {
+	x := k.call
+	if x == nil && k.inDoubt.isEmpty() {
 		k.mu.Unlock()
 		p.broken(k, errAbandoned, r.answer)
 		return false
 	}
-	k.previous, k.heard = nil, time.Now()
+	k.heard = time.Now()
 	r.pairing.Final = !r.goesOn
 	if x != nil && x.ends {
 		r.result.HungUp = false // as it was asked to
-		if r.goesOn {
-			p.passesOver(k.endpoint)
-		}
 	}
 	verdict := k.tracker.Response(r.pairing)
-	inOrder := x != nil && x.ends && verdict == pairing.Own
 	more := k.br.Buffered() > 0
+	var settled row
 	switch verdict {
 	case pairing.Own:
-		k.call = nil
+		k.call, settled = nil, k.inDoubt.takeAll() // responses come in order
 		k.gone = more || !r.goesOn || !k.tracker.Reusable()
 	case pairing.MayBeCopy:
 		if !r.goesOn {
@@ -134,18 +145,18 @@
 		}
 		if k.call = nil; x != nil && x.once && !r.pairing.Pass {
 			verdict = pairing.Ambiguous // as a refusal it would be repeated
+			settled = k.inDoubt.takeAll()
 		}
 	case pairing.Corrected, pairing.Ambiguous, pairing.Surplus:
-		k.call, k.undecided = nil, nil
+		k.call, settled = nil, k.inDoubt.takeAll()
+	case pairing.Skipped:
+		settled = k.inDoubt.takeAll()
 	}
 	gone := k.gone
 	if verdict != pairing.Own && verdict != pairing.MayBeCopy && verdict != pairing.Skipped {
 		k.gone, gone = true, true
 	}
 	k.mu.Unlock()
-	if previous != nil {
-		previous.followed(r.pairing, r.answer, inOrder)
-	}
 
 	switch {
 	case verdict == pairing.Own:
@@ -153,49 +164,56 @@
 			p.surplus(k, r, verdict, "more followed it")
 		}
 		x.answer = r.answer
+		settled.settleInOrder(true)
 		x.end <- callEnd{reuse: !gone}
 		return !gone
 	case verdict == pairing.Skipped:
 		p.surplus(k, r, verdict, "the call waits on")
+		settled.settleUnknown(errAmbiguous, r.answer)
 		return k.SetReadDeadline(time.Time{}) == nil
 	case verdict == pairing.MayBeCopy && x != nil:
 		p.undecide(k, x, r)
 		return true
 	case verdict == pairing.MayBeCopy:
-		p.surplus(k, r, verdict, "the call is undecided for longer")
-		p.awaitQuiet(k, u)
+		p.surplus(k, r, verdict, "the calls are undecided for longer")
+		p.awaitQuiet(k)
 		return true
 	}
 	p.discard(k)
-	switch {
-	case u != nil && verdict == pairing.Corrected:
+	if x == nil && verdict == pairing.Corrected {
 		p.surplus(k, r, verdict, "the call's outcome was corrected")
-		u.settled(&r.answer)
-	case u != nil:
-		p.surplus(k, r, verdict, "the call may have run")
-		a := u.unknown(errAmbiguous, u.answer, r.answer)
-		u.settled(&a)
-	case x != nil:
-		p.surplus(k, r, verdict, "the call may have run")
+		before, corrected := settled[:len(settled)-1], settled[len(settled)-1]
+		before.settleInOrder(false, corrected.answer, r.answer)
+		corrected.settled(&r.answer)
+		return false
+	}
+	p.surplus(k, r, verdict, "the calls may have run")
+	if x != nil {
 		came := r.answer
 		x.end <- callEnd{err: errAmbiguous, came: &came}
 	}
+	settled.settleUnknown(errAmbiguous, r.answer)
 	return false
 }
 
-// undecide leaves a call undecided until its connection has been quiet.
+// undecide leaves a call undecided until more is known. What an endpoint refused is not waited for beyond silence: to send it again is lawful whatever
+// comes.
 func (p *pool) undecide(k *conn, x *call, r response) {
 	x.answer, x.said = x.inDoubt(r.answer), r.pairing
-	p.keepUndecided(k, x)
+	if !r.said.Has(choice.ReplyPass) && !r.said.Has(choice.ReplyOver) && x.all == nil {
+		x.until = 0
+	}
+	settle := p.keepUndecided(k, x)
+	settle() // first: its end and this one's are told to the engine together
 	x.end <- callEnd{undecided: true}
 }
 
-// awaitQuiet has an undecided call wait for quiet anew.
-func (p *pool) awaitQuiet(k *conn, u *call) {
+// awaitQuiet has calls in doubt wait for quiet anew.
+func (p *pool) awaitQuiet(k *conn) {
 	span := p.quietSpan(k)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.undecided == u {
+	if k.call == nil && !k.inDoubt.isEmpty() {
 		k.SetReadDeadline(time.Now().Add(span)) // an error says that it is closed, which ends its reader
 	}
 }
@@ -216,25 +234,19 @@
 // response as could be read.
 func (p *pool) broken(k *conn, err error, came answer) {
 	k.mu.Lock()
-	if x := k.undecided; k.isIdleEnd(err, p.idleFor) {
-		k.undecided, k.gone = nil, true
-		k.mu.Unlock()
-		p.discard(k)
-		x.settled(nil)
-		return
-	}
-	x, undecided := k.call, []*call{k.previous, k.undecided}
-	k.call, k.previous, k.undecided, k.gone = nil, nil, nil, true
+	proven, exact := k.provesOrder(err, p.idleFor), k.tracker.Ordered()
+	x, settled := k.call, k.inDoubt.takeAll()
+	k.call, k.gone = nil, true
 	k.mu.Unlock()
 	p.discard(k)
+	p.heardPart(k.endpoint, came)
+	if proven {
+		settled.settleInOrder(exact)
+		return
+	}
 	if x != nil {
 		part := came
 		x.end <- callEnd{err: err, came: &part}
 	}
-	for _, u := range undecided {
-		if u != nil {
-			a := u.unknown(err, u.answer, came)
-			u.settled(&a)
-		}
-	}
+	settled.settleUnknown(err, came)
 }
--- a/internal/node/rest_test.go
+++ b/internal/node/rest_test.go
@@ -12,6 +12,7 @@
 
 	"starlingusher/choice"
 	"starlingusher/delivery"
+	"starlingusher/internal/node/pairing"
 )
 
 // restingPool is a pool as a node has it: connections rest between calls.
@@ -96,6 +97,35 @@
 	}
 }
 
+// Guards against a refused message that counts as delivered, since responses to the calls before it came twice and later than the next requests.
+func TestResponsesThatComeLateAndTwiceDeliverNoRefusedMessage(t *testing.T) {
+	var requests atomic.Int32
+	p := newPartner(t, func(nc net.Conn, req *http.Request) bool {
+		if requests.Add(1) < 5 { // its own, a copy of it, the second one's own, a copy of that
+			return says(delivered)(nc, req)
+		}
+		return says(turnedAway)(nc, req) // the third one's own
+	})
+	pool := newPool(2*time.Second, time.Minute, 1, slog.New(slog.DiscardHandler)) // one connection, so that none rests
+	call := testCall(endpointAt(p.Addr()))
+	call.UndecidedFor = 2 * time.Second
+	third := make(chan *delivery.Result, 1)
+	for i := range 5 {
+		call.Settle = func(r *delivery.Result) {
+			if i == 2 {
+				third <- r
+			}
+		}
+		pool.Attempt(t.Context(), call)
+	}
+	if final := <-third; final == nil || final.Outcome == choice.Pass || final.NotRun {
+		t.Errorf("got %+v", final)
+	}
+	if _, conns := p.counts(); conns != 1 {
+		t.Errorf("%d connections", conns)
+	}
+}
+
 // Guards against a response in doubt that counts without a proof, and against one that is given up though a proof comes later.
 func TestAResponseInDoubtIsSettledByWhatComesLater(t *testing.T) {
 	const idle = 2 * time.Second // of connections, by the settings
@@ -103,25 +133,27 @@
 	hang := func(nc net.Conn, _ *http.Request) bool { return silent(nc, nil) }
 	for _, c := range []struct {
 		name   string
-		next   func(net.Conn, *http.Request) bool // what the next call meets, later than clearAfter; nil for no such call
+		next   func(net.Conn, *http.Request) bool // what the next calls meet, later than clearAfter
+		calls  int                                // so many
 		ends   time.Duration                      // when the endpoint ends the connection, after its response; 0 for never
 		resets bool
 		want   choice.Outcome
 	}{
-		{"the next one is marked", says(last), 0, false, choice.Pass},
-		{"the next one is equal", says(delivered), 0, false, choice.Pass},
-		{"the next one is another", says(turnedAway), 0, false, choice.Cut},
-		{"the next one never comes", hang, 0, false, choice.Cut},
-		{"an end at its time", nil, idle, false, choice.Pass},
-		{"an early end", nil, idle / 3, false, choice.Cut},
-		{"a reset", nil, idle, true, choice.Cut},
-		{"nothing", nil, 0, false, choice.Cut},
+		{"the next one is marked", says(last), 1, 0, false, choice.Pass},
+		{"the next one is equal, as a copy may be", says(delivered), 1, 0, false, choice.Cut},
+		{"more are equal than copies may be", says(delivered), pairing.MostCopies, 0, false, choice.Pass},
+		{"the next one is another", says(turnedAway), 1, 0, false, choice.Cut},
+		{"the next one never comes", hang, 1, 0, false, choice.Cut},
+		{"an end at its time", nil, 0, idle, false, choice.Pass},
+		{"an early end", nil, 0, idle / 3, false, choice.Cut},
+		{"a reset", nil, 0, idle, true, choice.Cut},
+		{"nothing", nil, 0, 0, false, choice.Cut},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			var calls atomic.Int32
 			p := newPartner(t, func(nc net.Conn, req *http.Request) bool {
-				if calls.Add(1) == 3 {
+				if calls.Add(1) > 2 {
 					return c.next(nc, req)
 				}
 				if c.ends > 0 && calls.Load() == 2 {
@@ -143,8 +175,10 @@
 			if got := pool.Attempt(t.Context(), call); !got.Undecided {
 				t.Fatalf("got %+v", got)
 			}
-			if c.next != nil {
+			if c.calls == 1 {
 				time.Sleep(clearAfter + 50*time.Millisecond)
+			}
+			for range c.calls {
 				next := testCall(call.Endpoint)
 				next.NotPast = time.Now().Add(300 * time.Millisecond)
 				next.Settle = func(*delivery.Result) {}
