A sound endpoint takes no more connections than calls need: 16 rest where doubt can wait

A connection in doubt is given up for a proof only in the last second before its idle end, or after one second if its call has no time for that.

The new test of connections failed before (32 for 32 calls).

--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -29,6 +29,7 @@
 
 	idleSince time.Time // while it is kept; of whoever has it
 	mixed     bool      // likewise: a response other than a pass came on it
+	hurries   bool      // under the pool's lock, while it waits for quiet: the last call can't wait for the endpoint's idle end
 	torn      bool      // under the pool's lock, while it waits for quiet: responses in doubt differ, and its end would tell whose they are
 
 	mu       sync.Mutex
@@ -49,6 +50,7 @@
 	endpoint *delivery.Endpoint
 	once     bool          // it must not run twice
 	ends     bool          // its request asks for the end of the connection
+	canWait  bool          // it may stay undecided until the endpoint ends its connection as idle
 	sending  bool          // the first byte may have gone out; under the connection's lock
 	until    time.Duration // it may stay undecided for so long since processStart; under the connection's lock
 	request  []byte
@@ -81,7 +83,7 @@
 // onAnother is the same request for another connection: the reader of the one before has nothing of it.
 func (x *call) onAnother() *call {
 	next := newCall(x.request)
-	next.message, next.endpoint, next.once, next.until = x.message, x.endpoint, x.once, x.until
+	next.message, next.endpoint, next.once, next.canWait, next.until = x.message, x.endpoint, x.once, x.canWait, x.until
 	next.all, next.settle, next.done = x.all, x.settle, x.done
 	return next
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -23,15 +23,21 @@
 
 const (
 	idleMargin = 400 * time.Millisecond // an endpoint's idle clock may be ahead of ours by a response's way
-	// mostUndecided is how many connections to an endpoint rest, or wait for quiet, before one of them takes a call without it. It is above the slots
-	// of most nodes: the last call on a connection that did not rest may have run, as far as is known.
+	// mostUnrested is how many connections to an endpoint rest, or wait for quiet, before one of them takes a call without it that has time to wait for
+	// its proof: the last call on a connection that did not rest is in doubt until the next call there, or the endpoint's idle end.
+	mostUnrested = 16
+	// mostUndecided takes its place for a call without that time. It is above the slots of most nodes.
 	mostUndecided = 64
 	// mostRefusing takes its place at an endpoint that refuses some calls: responses that differ settle none before them.
 	mostRefusing = 4 * mostUndecided
 	// copySpan is for how long a copy of a response may follow it: what a server takes to write it, and a lost packet to be sent again.
 	copySpan = 250 * time.Millisecond
-	// clearAfter is for how long a response is in doubt until the next call goes there and asks for the connection's end, which proves both.
+	// clearAfter is for how long a response that can't wait for the endpoint's idle end is in doubt until the next call goes there and asks for the
+	// connection's end, which proves both.
 	clearAfter = time.Second
+	// proofMargin is what the endpoint's idle end may take to come, beyond the settings' idle time since the call was sent. For so long before that end
+	// the next call asks for it in any case.
+	proofMargin = time.Second
 	// refusingFor is for how long an endpoint counts as refusing after a response other than a pass.
 	refusingFor = 5 * time.Second
 	// scarceFor is for how long an endpoint's places count as scarce after all its connections were given back twice in that time. Then
@@ -127,6 +133,7 @@
 // undecided.
 func (p *pool) call(ctx context.Context, c delivery.Attempt, x *call) (answer, *conn) {
 	x.message, x.endpoint, x.once, x.until = c.ID, c.Endpoint, c.Once, time.Since(processStart)+c.UndecidedFor
+	x.canWait = c.UndecidedFor >= p.idleFor+idleMargin+proofMargin
 	if now := time.Now(); !c.MayBegin(now) || ctx.Err() != nil || !now.Before(c.NotPast) {
 		return notSent(choice.Stale, nil), nil
 	}
@@ -263,9 +270,12 @@
 	}
 	waiting := p.undecided[id]
 	count := len(kept) + len(waiting) + len(p.torn[id])
-	most, doubted := mostUndecided, p.doubtedFor(id, leastQuiet, now)
-	if p.refusing.has(id) {
+	most, doubted := mostUndecided, p.doubted(id, now)
+	switch {
+	case p.refusing.has(id):
 		most, doubted = mostRefusing, nil
+	case x.canWait && !p.endless[id]:
+		most = mostUnrested
 	}
 	room := count < most && p.size+p.waiting < p.maxIdle
 	usable := slices.IndexFunc(kept, func(k *conn) bool { return !x.once || !k.mixed })
@@ -300,13 +310,23 @@
 	if torn := p.torn[id]; len(torn) > 0 {
 		return torn[0]
 	}
-	return p.doubtedFor(id, clearAfter, now)
+	for _, k := range p.undecided[id] {
+		quiet := now.Sub(k.idleSince)
+		if quiet < clearAfter {
+			return nil // those behind it have been for less
+		}
+		isDue := k.hurries || quiet >= p.idleFor-proofMargin
+		if isDue && quiet < p.idleFor && k.isDoubted() {
+			return k
+		}
+	}
+	return nil
 }
 
-// doubtedFor is a connection of an endpoint that has been in doubt for some time, and that the endpoint does not close yet; nil for none. The lock is held.
-func (p *pool) doubtedFor(id string, span time.Duration, now time.Time) *conn {
+// doubted is a connection of an endpoint that silence does not settle, and that the endpoint does not close yet; nil for none. The lock is held.
+func (p *pool) doubted(id string, now time.Time) *conn {
 	for _, k := range p.undecided[id] {
-		if quiet := now.Sub(k.idleSince); quiet < span {
+		if quiet := now.Sub(k.idleSince); quiet < leastQuiet {
 			return nil // those behind it have been for less
 		} else if quiet < p.idleFor && k.isDoubted() {
 			return k
@@ -385,8 +405,8 @@
 			break
 		}
 	}
-	settle, differ := k.doubt(x, p.endless[k.endpoint], time.Now().Add(p.quietSpanLocked(k.endpoint)))
-	k.torn, k.idleSince = differ, time.Now()
+	settle, k.torn = k.doubt(x, p.endless[k.endpoint], time.Now().Add(p.quietSpanLocked(k.endpoint)))
+	k.hurries, k.idleSince = !x.canWait, time.Now()
 	all := p.waitingWith(k)
 	all[k.endpoint] = append(all[k.endpoint], k)
 	p.waiting++
--- a/internal/node/rest_test.go
+++ b/internal/node/rest_test.go
@@ -171,7 +171,7 @@
 			pool.Attempt(t.Context(), call)
 			settled := make(chan *delivery.Result, 1)
 			call.Settle = func(r *delivery.Result) { settled <- r }
-			call.UndecidedFor = 3 * time.Second
+			call.UndecidedFor = 2500 * time.Millisecond
 			if got := pool.Attempt(t.Context(), call); !got.Undecided {
 				t.Fatalf("got %+v", got)
 			}
@@ -194,3 +194,41 @@
 		})
 	}
 }
+
+// Guards against more connections to a sound endpoint than calls need whose doubt can wait for its proof, and against calls without time for that on
+// connections that did not rest.
+func TestConnectionsRestForCallsThatCannotWaitForTheirProof(t *testing.T) {
+	const idle, calls = time.Second, 2 * mostUnrested
+	for _, c := range []struct {
+		name    string
+		wait    time.Duration // for which a call may stay undecided
+		refuses bool          // the endpoint turned the first call away, and ended its connection
+		conns   int
+	}{
+		{"time for the proof", time.Minute, false, mostUnrested},
+		{"time for the proof, at an endpoint that refuses", time.Minute, true, calls},
+		{"too little time", idle, false, calls},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var count atomic.Int32
+			p := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+				if first := count.Add(1) == 1; first && c.refuses {
+					says(turnedAway)(nc, nil)
+					return false
+				}
+				return says(delivered)(nc, nil)
+			})
+			pool := newPool(2*time.Second, idle, 4*calls, slog.New(slog.DiscardHandler))
+			pool.restFor = time.Minute
+			call := testCall(endpointAt(p.Addr()))
+			call.UndecidedFor, call.Settle = c.wait, func(*delivery.Result) {}
+			for range calls {
+				pool.Attempt(t.Context(), call)
+			}
+			if _, conns := p.counts(); conns != c.conns {
+				t.Errorf("%d connections for %d calls, want %d", conns, calls, c.conns)
+			}
+		})
+	}
+}
