The end of a connection proves no order unless the response before it says so

Cause: took a connection's end behind a call that had asked for it as the proof that each response before was its own call's, also where the last one did not say so. It may be a copy, and the end that of a server that hung.

A row of the unit test: such an end settles nothing.

--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -316,14 +316,10 @@
 	return k.tracker.Reusable()
 }
 
-// provesOrder tells whether the end of a connection with calls in doubt says that its endpoint has answered all of them: it was asked for that end, or
-// ends those that have stood idle for as long as the settings say. One on which a call hangs is not idle, and a process that dies resets it. The lock is
-// held.
-func (k *conn) provesOrder(err error, idle time.Duration) bool {
-	if k.call != nil || k.inDoubt.isEmpty() || !errors.Is(err, io.EOF) {
-		return false
-	}
-	return k.inDoubt.last().ends || (k.doubted && time.Since(k.heard) >= idle)
+// isIdleEnd tells whether a connection with calls in doubt ended as endpoints end those that have stood idle for as long as the settings say. One on
+// which a call hangs is not idle, and a process that dies resets it. The lock is held.
+func (k *conn) isIdleEnd(err error, idle time.Duration) bool {
+	return k.doubted && !k.inDoubt.isEmpty() && k.call == nil && errors.Is(err, io.EOF) && time.Since(k.heard) >= idle
 }
 
 // endDoubt has the calls in doubt wait no longer for what may tell. The reader settles them.
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -234,13 +234,13 @@
 // response as could be read.
 func (p *pool) broken(k *conn, err error, came answer) {
 	k.mu.Lock()
-	proven, exact := k.provesOrder(err, p.idleFor), k.tracker.Ordered()
+	idle, exact := k.isIdleEnd(err, p.idleFor), k.tracker.Ordered()
 	x, settled := k.call, k.inDoubt.takeAll()
 	k.call, k.gone = nil, true
 	k.mu.Unlock()
 	p.discard(k)
 	p.heardPart(k.endpoint, came)
-	if proven {
+	if idle {
 		settled.settleInOrder(exact)
 		return
 	}
--- a/internal/node/rest_test.go
+++ b/internal/node/rest_test.go
@@ -143,6 +143,10 @@
 		{"the next one is equal, as a copy may be", says(delivered), 1, 0, false, choice.Cut},
 		{"more are equal than copies may be", says(delivered), pairing.MostCopies, 0, false, choice.Pass},
 		{"the next one is another", says(turnedAway), 1, 0, false, choice.Cut},
+		{"the next one is equal, and its connection ends", func(nc net.Conn, req *http.Request) bool {
+			says(delivered)(nc, req)
+			return false
+		}, 1, 0, false, choice.Cut},
 		{"the next one never comes", hang, 1, 0, false, choice.Cut},
 		{"an end at its time", nil, 0, idle, false, choice.Pass},
 		{"an early end", nil, 0, idle / 3, false, choice.Cut},
