A refusal in doubt is waited for, and no late connection is asked for its end

Cause, found in a reading of: a refusal in doubt was given up after silence, since to send again is lawful after a refusal and after none. But the call's own response may be one that comes later, a 410 among them, behind a slow network: the message would be called again after it. And a connection with responses that differ could be asked for its end at any time, also when the endpoint was about to close it as idle, which would reset a call.

Mend: a refusal in doubt waits as any other response does, as before; such a connection takes a call only while it has stood idle for less than the endpoint allows.

The tests of doubts in internal/node pass.

--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -307,8 +307,10 @@
 	if p.endless[id] {
 		return nil
 	}
-	if torn := p.torn[id]; len(torn) > 0 {
-		return torn[0]
+	for _, k := range p.torn[id] {
+		if now.Sub(k.idleSince) < p.idleFor { // or the endpoint may be about to close it
+			return k
+		}
 	}
 	for _, k := range p.undecided[id] {
 		quiet := now.Sub(k.idleSince)
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"starlingusher/choice"
 	"starlingusher/internal/node/pairing"
 )
 
@@ -196,13 +195,9 @@
 	return false
 }
 
-// undecide leaves a call undecided until more is known. What an endpoint refused is not waited for beyond silence: to send it again is lawful whatever
-// comes.
+// undecide leaves a call undecided until more is known.
 func (p *pool) undecide(k *conn, x *call, r response) {
 	x.answer, x.said = x.inDoubt(r.answer), r.pairing
-	if !r.said.Has(choice.ReplyPass) && !r.said.Has(choice.ReplyOver) && x.all == nil {
-		x.until = 0
-	}
 	certain, unclear := p.keepUndecided(k, x)
 	if certain != nil {
 		certain.settled(nil) // before x ends, so that the engine is told of both together
