A call that is given up takes the response that has arrived by then

What callers saw: a message whose endpoint had said that it is over (410) was called again; beside it delivered messages were called again or reported as failed. It takes a process that is held up past the time for a call (or past the 350 ms after which a call is called off while all slots are taken).

Cause: at that time the connection was closed at once. On a process that goes on, the timer and the response are due together; where the timer came first, the response was thrown away unread, and the call counted as one that may have run. The log of such a message: outcome="too slow", status=0, err="use of closed network connection", with its 410 written 6 s earlier.

Change: to give a call up ends the waiting, not the connection. The reader takes what the system holds by then and ends the connection where that is no whole response. As much of one as has come counts as it did.

--- a/internal/faults/clients/node_test.go
+++ b/internal/faults/clients/node_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -69,7 +70,27 @@
 	addr      string
 	endpoint  *standin.HTTP
 	discovery *standin.Discovery
-	log       bytes.Buffer
+	log       lockedBuffer
+}
+
+// lockedBuffer is a buffer that may be read while it is written to.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *lockedBuffer) Write(text []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(text)
+}
+
+// String is all that was written.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
 }
 
 func start(t *testing.T, limits standin.Limits, script standin.Script) *process {
@@ -143,6 +164,29 @@
 	p.awaitClients()
 }
 
+// holdUp stops the process for a while, as a machine that is busy does.
+func (p *process) holdUp(span time.Duration) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		p.t.Fatal(err)
+	}
+	time.Sleep(span)
+	if err := p.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// linesOf are the lines of the processes' log that name a message.
+func (p *process) linesOf(id string) string {
+	var lines strings.Builder
+	for line := range strings.Lines(p.log.String()) {
+		if strings.Contains(line, "message="+id+" ") {
+			lines.WriteString(line)
+		}
+	}
+	return lines.String()
+}
+
 // stop ends the process as the platform does, and fails the test if it has ended by itself.
 func (p *process) stop() {
 	p.cmd.Process.Signal(syscall.SIGTERM)
--- a/internal/faults/clients/over_test.go
+++ b/internal/faults/clients/over_test.go
@@ -20,6 +20,8 @@
 const (
 	gone     = "HTTP/1.1 410 Gone\r\n"
 	goneLate = 50 * time.Millisecond // by which a call may cross the 410 for its message
+	// heldUpFor is longer than a call may be out.
+	heldUpFor = 5 * time.Second
 )
 
 // overServer turns all messages away until it opens. Then it answers every second one that its message is over, and delivers the others.
@@ -103,6 +105,10 @@
 		write func(nc net.Conn, number int) bool
 		stop  os.Signal // ends the node while calls are out, and another process goes on in its folder; nil for none
 	}{
+		{"whole, and the node is held up", func(nc net.Conn, _ int) bool {
+			time.Sleep(100 * time.Millisecond) // its work
+			return saysGone(true, 0, whole)(nc, 0)
+		}, syscall.SIGSTOP},
 		{"whole", saysGone(true, 0, whole), nil},
 		{"whole, at connections without end", saysGone(true, 0, whole), nil},
 		{"with a date", func(nc net.Conn, _ int) bool {
@@ -153,7 +159,11 @@
 			server.mu.Unlock()
 			for i := range 100 {
 				time.Sleep(30 * time.Millisecond) // the clients' rate
-				if i == 30 && c.stop != nil {
+				switch {
+				case c.stop == syscall.SIGSTOP && i%50 == 0:
+					hand(150)
+					p.holdUp(heldUpFor)
+				case i == 30 && c.stop != nil && c.stop != syscall.SIGSTOP:
 					p.replace(c.stop)
 				}
 				hand(4)
@@ -186,6 +196,9 @@
 			server.mu.Lock()
 			defer server.mu.Unlock()
 			t.Logf("%d taken on, %d over, %d of them called again, %d delivered, %d of them reported as failed", taken, len(server.over), len(server.again), len(server.delivered), falsely)
+			for id := range server.again {
+				t.Logf("the node's log of %s:\n%s", id, p.linesOf(id))
+			}
 			if len(server.again) > 0 || without > 0 || len(server.over) < 100 {
 				t.Errorf("%d of %d messages that were over were called again, %d messages have no end", len(server.again), len(server.over), without)
 			}
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	tracker  pairing.Tracker
 	call     *call     // whose response is awaited
+	givenUp  *call     // its response is not waited for any more: what has arrived counts
 	inDoubt  doubts    // with no call out, the last one's response came last
 	doubted  bool      // silence does not settle them
 	requests uint16    // that went out
@@ -140,6 +141,7 @@
 	errUnproven  = errors.New("answer: it may be a copy of the one before, and silence proves nothing")
 	errEarly     = errors.New("the endpoint said something before the request was sent")
 	errAbandoned = errors.New("the request could not be written whole")
+	errGivenUp   = errors.New("answer: none has come in the call's time")
 )
 
 func newConn(nc net.Conn, endpoint, addr string) *conn {
@@ -149,21 +151,96 @@
 	return k
 }
 
-// steady reads from a connection. While a response is to be whole by some time, each read has a bound of its own as well.
+// steady reads from a connection. While a response is to be whole by some time, each read has a bound of its own as well. Once the call is given up it
+// reads what has arrived, and waits for nothing.
 type steady struct{ *conn }
 
 // Read implements io.Reader.
 func (r steady) Read(b []byte) (int, error) {
-	if !r.wholeBy.IsZero() {
-		by := time.Now().Add(answerTimeout)
-		if r.wholeBy.Before(by) {
-			by = r.wholeBy
-		}
-		if err := r.SetReadDeadline(by); err != nil {
-			return 0, err
+	if err := r.boundRead(); err != nil {
+		return 0, err
+	}
+	n, err := r.Conn.Read(b)
+	if isTimeout(err) && r.isGivenUp() {
+		return r.readArrived(b)
+	}
+	return n, err
+}
+
+// boundRead sets the time by which the next read ends.
+func (k *conn) boundRead() error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.isGivenUpLocked() {
+		return k.SetReadDeadline(longAgo)
+	}
+	if k.wholeBy.IsZero() {
+		return nil
+	}
+	by := time.Now().Add(answerTimeout)
+	if k.wholeBy.Before(by) {
+		by = k.wholeBy
+	}
+	return k.SetReadDeadline(by)
+}
+
+// longAgo is a deadline that ends what waits at once.
+var longAgo = time.Unix(1, 0)
+
+// giveUp has the connection wait no longer for the response to a call. The reader takes what has arrived by then: a process that was held up past the
+// call's time finds the response in its socket.
+func (k *conn) giveUp(x *call) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.call != x {
+		return // its response was read
+	}
+	k.givenUp = x
+	k.SetDeadline(longAgo) // an error says that it is closed, which ends its reader
+}
+
+// isGivenUp tells whether the call that is out was given up.
+func (k *conn) isGivenUp() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.isGivenUpLocked()
+}
+
+func (k *conn) isGivenUpLocked() bool { return k.call != nil && k.call == k.givenUp }
+
+// readArrived reads what the system holds of the connection, and does not wait; os.ErrDeadlineExceeded says that this is nothing.
+func (k *conn) readArrived(b []byte) (n int, err error) {
+	raw, err := k.raw()
+	if err != nil {
+		return 0, os.ErrDeadlineExceeded
+	}
+	closed := raw.Control(func(fd uintptr) {
+		for {
+			if n, _, err = syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT); !errors.Is(err, syscall.EINTR) {
+				return
+			}
 		}
+	})
+	switch {
+	case closed != nil:
+		return 0, closed
+	case errors.Is(err, syscall.EAGAIN):
+		return 0, os.ErrDeadlineExceeded
+	case err != nil:
+		return 0, err
+	case n == 0:
+		return 0, io.EOF
 	}
-	return r.Conn.Read(b)
+	return n, nil
+}
+
+// raw is the system's connection.
+func (k *conn) raw() (syscall.RawConn, error) {
+	s, ok := k.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return s.SyscallConn()
 }
 
 // begin has the connection's next response go to a call, and tells whether there can be one. The connection has rested if nothing has come for
@@ -171,7 +248,7 @@
 func (k *conn) begin(x *call, rest time.Duration) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.gone || k.SetReadDeadline(time.Time{}) != nil {
+	if k.gone || k.SetDeadline(time.Time{}) != nil {
 		return false
 	}
 	rested := k.heard.IsZero() || time.Since(k.heard) >= rest
@@ -345,11 +422,7 @@
 
 // hasUnread tells whether bytes, or an end, wait to be read: a reader that was woken by its deadline may have been held up.
 func (k *conn) hasUnread() bool {
-	s, ok := k.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
+	raw, err := k.raw()
 	if err != nil {
 		return false
 	}
--- a/internal/node/late_test.go
+++ b/internal/node/late_test.go
@@ -115,3 +115,50 @@
 		})
 	}
 }
+
+// heldUpConn is a connection of a process that is held up ahead of one of its reads.
+type heldUpConn struct {
+	*net.TCPConn
+	reads   int
+	heldUp  int // number of the read that waits
+	arrived chan struct{}
+	goOn    chan struct{}
+}
+
+// Read implements io.Reader.
+func (c *heldUpConn) Read(b []byte) (int, error) {
+	if c.reads++; c.reads == c.heldUp {
+		close(c.arrived)
+		<-c.goOn
+	}
+	return c.TCPConn.Read(b)
+}
+
+// Guards against a response that is thrown away, so that its message is called again, since the process was held up past the time for it.
+func TestAResponseThatArrivesWhileTheProcessIsHeldUpCounts(t *testing.T) {
+	const over = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
+	p, written := testPool(), make(chan struct{})
+	server := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+		io.WriteString(nc, over) // an error shows in the call
+		close(written)
+		return true
+	})
+	held := &heldUpConn{heldUp: 1, arrived: make(chan struct{}), goOn: make(chan struct{})}
+	p.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		nc, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err == nil {
+			held.TCPConn = nc.(*net.TCPConn)
+		}
+		return held, err
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan delivery.Result)
+	go func() { ended <- p.Attempt(ctx, testCall(endpointAt(server.Addr()))) }()
+	<-held.arrived
+	<-written
+	cancel()
+	time.AfterFunc(100*time.Millisecond, func() { close(held.goOn) }) // the call is given up meanwhile
+	if got := <-ended; got.Outcome != choice.Stale || !got.Closed || !got.NotRun {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -154,7 +154,8 @@
 			}
 			return notSent(choice.Stale, nil), nil
 		}
-		giveUp := func() { k.Close() }
+		out := x
+		giveUp := func() { k.giveUp(out) }
 		stop, late := context.AfterFunc(ctx, giveUp), time.AfterFunc(time.Until(c.NotPast), giveUp)
 		end := k.exchange(ctx, x, c)
 		inTime, stopped := late.Stop(), stop()
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -50,9 +50,12 @@
 // timedOut notes that the time of a connection at rest is over.
 func (p *pool) timedOut(k *conn) bool {
 	k.mu.Lock()
-	x, waits := k.call, !k.inDoubt.isEmpty()
+	x, waits, givenUp := k.call, !k.inDoubt.isEmpty(), k.isGivenUpLocked()
 	k.mu.Unlock()
 	switch {
+	case givenUp:
+		p.broken(k, errGivenUp, answer{})
+		return false
 	case x != nil:
 		return true // a call took it just now, and the deadline is gone
 	case !waits:
