A response that arrives while the process is held up past its bounds is read

A process that was held up for over 0.5 s between two pieces, or 3 s in all, took the response for cut off, with the rest of it in its socket: a refused payout was reported as failed, the wait in a 429 was not heard.

Cause: a read whose deadline is over ends without a look at what is there.

Change: where the time for a read is over, what has arrived is read, and nothing is waited for. So the look into the socket ahead of the verdict "quiet" is the reader's own now. A response that comes drop by drop ends as before: its bounds in bytes are unchanged, and nothing is there when the time is over.

--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -151,8 +151,8 @@
 	return k
 }
 
-// steady reads from a connection. While a response is to be whole by some time, each read has a bound of its own as well. Once the call is given up it
-// reads what has arrived, and waits for nothing.
+// steady reads from a connection. While a response is to be whole by some time, each read has a bound of its own as well. Once the time for a read is
+// over, or the call is given up, it reads what has arrived and waits for nothing: a process that was held up finds the response in its socket.
 type steady struct{ *conn }
 
 // Read implements io.Reader.
@@ -161,7 +161,7 @@
 		return 0, err
 	}
 	n, err := r.Conn.Read(b)
-	if isTimeout(err) && r.isGivenUp() {
+	if isTimeout(err) {
 		return r.readArrived(b)
 	}
 	return n, err
@@ -171,7 +171,7 @@
 func (k *conn) boundRead() error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.isGivenUpLocked() {
+	if k.isGivenUp() {
 		return k.SetReadDeadline(longAgo)
 	}
 	if k.wholeBy.IsZero() {
@@ -187,8 +187,7 @@
 // longAgo is a deadline that ends what waits at once.
 var longAgo = time.Unix(1, 0)
 
-// giveUp has the connection wait no longer for the response to a call. The reader takes what has arrived by then: a process that was held up past the
-// call's time finds the response in its socket.
+// giveUp has the connection wait no longer for the response to a call. The reader takes what has arrived by then.
 func (k *conn) giveUp(x *call) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -199,14 +198,8 @@
 	k.SetDeadline(longAgo) // an error says that it is closed, which ends its reader
 }
 
-// isGivenUp tells whether the call that is out was given up.
-func (k *conn) isGivenUp() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.isGivenUpLocked()
-}
-
-func (k *conn) isGivenUpLocked() bool { return k.call != nil && k.call == k.givenUp }
+// isGivenUp tells whether the call that is out was given up. The lock is held.
+func (k *conn) isGivenUp() bool { return k.call != nil && k.call == k.givenUp }
 
 // readArrived reads what the system holds of the connection, and does not wait; os.ErrDeadlineExceeded says that this is nothing.
 func (k *conn) readArrived(b []byte) (n int, err error) {
--- a/internal/node/late_test.go
+++ b/internal/node/late_test.go
@@ -137,28 +137,55 @@
 // Guards against a response that is thrown away, so that its message is called again, since the process was held up past the time for it.
 func TestAResponseThatArrivesWhileTheProcessIsHeldUpCounts(t *testing.T) {
 	const over = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"
-	p, written := testPool(), make(chan struct{})
-	server := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
-		io.WriteString(nc, over) // an error shows in the call
-		close(written)
-		return true
-	})
-	held := &heldUpConn{heldUp: 1, arrived: make(chan struct{}), goOn: make(chan struct{})}
-	p.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
-		nc, err := new(net.Dialer).DialContext(ctx, network, addr)
-		if err == nil {
-			held.TCPConn = nc.(*net.TCPConn)
-		}
-		return held, err
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan delivery.Result)
-	go func() { ended <- p.Attempt(ctx, testCall(endpointAt(server.Addr()))) }()
-	<-held.arrived
-	<-written
-	cancel()
-	time.AfterFunc(100*time.Millisecond, func() { close(held.goOn) }) // the call is given up meanwhile
-	if got := <-ended; got.Outcome != choice.Stale || !got.Closed || !got.NotRun {
-		t.Errorf("got %+v", got)
+	for _, c := range []struct {
+		name    string
+		pieces  []string
+		heldUp  int // ahead of the read of that number
+		span    time.Duration
+		givenUp bool
+	}{
+		{"the call is given up", []string{over}, 1, 100 * time.Millisecond, true},
+		{"the time between its pieces is over", []string{over[:20], over[20:]}, 2, answerTimeout + 100*time.Millisecond, false},
+		{"the time for all of it is over", []string{over[:20], over[20:]}, 2, wholeTimeout + 100*time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			p, next, written := testPool(), make(chan struct{}, len(c.pieces)), make(chan struct{})
+			server := newPartner(t, func(nc net.Conn, _ *http.Request) bool {
+				for _, piece := range c.pieces {
+					<-next
+					io.WriteString(nc, piece) // an error shows in the call
+				}
+				close(written)
+				return true
+			})
+			held := &heldUpConn{heldUp: c.heldUp, arrived: make(chan struct{}), goOn: make(chan struct{})}
+			p.connect = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				nc, err := new(net.Dialer).DialContext(ctx, network, addr)
+				if err == nil {
+					held.TCPConn = nc.(*net.TCPConn)
+				}
+				return held, err
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			ended := make(chan delivery.Result)
+			go func() { ended <- p.Attempt(ctx, testCall(endpointAt(server.Addr()))) }()
+			for range c.heldUp - 1 {
+				next <- struct{}{}
+			}
+			<-held.arrived
+			for range len(c.pieces) - c.heldUp + 1 {
+				next <- struct{}{}
+			}
+			<-written
+			if c.givenUp {
+				cancel()
+			}
+			time.AfterFunc(c.span, func() { close(held.goOn) })
+			if got := <-ended; got.Outcome != choice.Stale || !got.Closed || !got.NotRun {
+				t.Errorf("got %+v", got)
+			}
+		})
 	}
 }
--- a/internal/node/reader.go
+++ b/internal/node/reader.go
@@ -47,10 +47,10 @@
 	return p.received(k, r)
 }
 
-// timedOut notes that the time of a connection at rest is over.
+// timedOut notes that the time for a read is over, and that nothing has arrived.
 func (p *pool) timedOut(k *conn) bool {
 	k.mu.Lock()
-	x, waits, givenUp := k.call, !k.inDoubt.isEmpty(), k.isGivenUpLocked()
+	x, waits, givenUp := k.call, !k.inDoubt.isEmpty(), k.isGivenUp()
 	k.mu.Unlock()
 	switch {
 	case givenUp:
@@ -61,8 +61,6 @@
 	case !waits:
 		p.broken(k, errIdle, answer{})
 		return false
-	case k.hasUnread():
-		return k.SetReadDeadline(time.Time{}) == nil
 	}
 	return p.quiet(k)
 }
