A proposal that comes back to its voter is taken

Cause: a proposal keeps its sender where a follower that led hands it on to the next leader, and that one may be the sender. The voter refused it as forged.

Change: such a proposal is taken.

--- a/peers/lease/lease_test.go
+++ b/peers/lease/lease_test.go
@@ -377,3 +377,31 @@
 		t.Errorf("it has carried out nothing: applied %d, leases %v", v.Applied(), v.Leases())
 	}
 }
+
+// Guards against a proposal that is refused since two leaders in a row handed it on, and it came back to its voter.
+func TestAProposalThatComesBackIsTaken(t *testing.T) {
+	v, err := NewVoter(Settings{Term: time.Second, Tick: ms}, 1, Found(map[uint64]string{1: "a", 2: "b"}, 0), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	command := []*raftpb.Entry{{Data: []byte("{}")}}
+	for _, c := range []struct {
+		kind    raftpb.MessageType
+		entries []*raftpb.Entry
+		taken   bool
+	}{
+		{raftpb.MessageType_MsgProp, command, true},
+		{raftpb.MessageType_MsgProp, nil, false},
+		{raftpb.MessageType_MsgApp, command, false},
+		{raftpb.MessageType_MsgVote, nil, false},
+	} {
+		m := raftpb.Message{Type: c.kind.Enum(), To: proto.Uint64(1), From: proto.Uint64(1), Entries: c.entries}
+		raw, err := proto.Marshal(&m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := v.Step(raw); (err == nil) != c.taken {
+			t.Errorf("%v of %d entries: %v", c.kind, len(c.entries), err)
+		}
+	}
+}
--- a/peers/lease/voter.go
+++ b/peers/lease/voter.go
@@ -249,8 +249,13 @@
 	if err := proto.Unmarshal(raw, &m); err != nil {
 		return fmt.Errorf("%w: %w", ErrBadMessage, err)
 	}
-	if m.GetTo() != v.id || m.GetFrom() == v.id { // one that is new to the group may not be known here yet
-		return fmt.Errorf("%w: it is from %x to %x", ErrBadMessage, m.GetFrom(), m.GetTo())
+	isProposal := m.GetType() == raftpb.MessageType_MsgProp
+	// One that is new to the group may not be known here yet. A proposal keeps its sender where a former leader hands it on, and may come back.
+	if m.GetTo() != v.id || (m.GetFrom() == v.id && !isProposal) {
+		return fmt.Errorf("%w: a %v from %x to %x", ErrBadMessage, m.GetType(), m.GetFrom(), m.GetTo())
+	}
+	if isProposal && len(m.GetEntries()) == 0 { // which ends a leader
+		return fmt.Errorf("%w: a proposal of nothing", ErrBadMessage)
 	}
 	if raft.IsLocalMsg(m.GetType()) {
 		return fmt.Errorf("%w: it is of a kind that does not travel", ErrBadMessage)
