Stand-ins end a connection when asked to; failed accounts tell the node's lines

Need: the stand-in passed over "Connection: close", which HTTP/1.1 does not allow: no test of it could show that a connection's end proves its responses.

Change: its last response says so and its connection ends. A message whose fate is not the wanted one has the node's lines printed.

--- a/cmd/coralyard/kill_test.go
+++ b/cmd/coralyard/kill_test.go
@@ -135,6 +135,17 @@
 	}
 }
 
+// linesOf are the lines of the log of a process that has ended that name a message.
+func (c *child) linesOf(id string) string {
+	var lines strings.Builder
+	for line := range strings.Lines(c.log.String()) {
+		if strings.Contains(line, "message="+id+" ") {
+			lines.WriteString(line)
+		}
+	}
+	return lines.String()
+}
+
 func (c *child) kill() {
 	c.Process.Kill()
 	c.Wait()
--- a/cmd/coralyard/recording_test.go
+++ b/cmd/coralyard/recording_test.go
@@ -78,7 +78,7 @@
 			sum += d
 		}
 		if m.Fate != account.Delivered || sum != m.Life() || m.Spans[account.Wire] <= 0 {
-			t.Errorf("%s: %v, %v of %v", m.ID, m.Fate, sum, m.Life())
+			t.Errorf("%s: %v, %v of %v, %v\n%s", m.ID, m.Fate, sum, m.Life(), m.Spans, node.linesOf(m.ID))
 		}
 		dialled = dialled || m.Spans[account.Dial] > 0
 	}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -180,14 +181,14 @@
 			s = script(c)
 		}
 		p.Note(c, s.Fault)
-		if !p.answer(nc, c, s) {
+		if !p.answer(nc, c, s, req.Close) {
 			return
 		}
 	}
 }
 
-// answer does a step, and tells whether the connection goes on.
-func (p *HTTP) answer(nc net.Conn, c Call, s Step) bool {
+// answer does a step, and tells whether the connection goes on. The last response on it says so.
+func (p *HTTP) answer(nc net.Conn, c Call, s Step, last bool) bool {
 	if s.Delay > 0 {
 		t := time.NewTimer(s.Delay)
 		defer t.Stop()
@@ -221,8 +222,12 @@
 	case Full:
 		text = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
 	}
+	if last {
+		line, rest, _ := strings.Cut(text, "\r\n")
+		text = line + "\r\nConnection: close\r\n" + rest
+	}
 	_, err := io.WriteString(nc, text)
-	return err == nil
+	return err == nil && !last
 }
 
 // load is the line of a load report, or nothing.
