A pass without proof says nothing of its endpoint's health

What callers saw: at a sound endpoint whose responses are alike, a message in doubt that has no time to wait ended as one that may have run, and its endpoint was taken for suspect: single trials, 250 ms apart, for seconds.

Cause: the second outcome of an attempt was judged like a new failure. It says that the response may have been a copy, not that the endpoint failed; one that hangs behind a copy shows in the calls that time out.

Result: TestAPassWithoutProofSaysNothingOfItsEndpoint fails before and passes now; package choice passes with the race detector.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -374,7 +374,9 @@
 	if e.Outcome != u.outcome && !u.c.corrected {
 		u.c.corrected, u.c.judged = true, false
 		s.report(u.c.ep.route, e.Report)
-		s.judge(u.c, e, e.worn())
+		if !isUnproven(u.outcome, e.Outcome) {
+			s.judge(u.c, e, e.worn())
+		}
 		s.stir(u.c.ep.dest)
 	} else if e.Wait > 0 {
 		u.c.ep.route.told(s.now + e.Wait)
@@ -382,6 +384,10 @@
 	s.returned(u.m, u.c, e)
 }
 
+// isUnproven tells whether an attempt that seemed to pass ended with no proof of that. That says nothing of its endpoint: one that hangs shows
+// in calls that time out.
+func isUnproven(before, after Outcome) bool { return before == Pass && after == Cut }
+
 // stood takes it that the outcome of an attempt that was undecided stands.
 func (s *Sender) stood(e Stood) {
 	key := attempt{e.ID, e.Attempt}
--- a/choice/undecided_test.go
+++ b/choice/undecided_test.go
@@ -78,3 +78,14 @@
 		}
 	}
 }
+
+// Guards against a sound endpoint that gets single calls alone, since a response of its was in doubt until the message had no time to wait.
+func TestAPassWithoutProofSaysNothingOfItsEndpoint(t *testing.T) {
+	for outcome, says := range map[Outcome]bool{Cut: false, Fault: true} {
+		w := undecidedStory(t)
+		w.step(5*ms, Ended{ID: "a", Endpoint: w.s.dests[0].endpoints[0].id, Outcome: outcome, Settled: true})
+		if r := w.s.dests[0].shared; (r.suspectAt > 0 || r.fails > 0) != says {
+			t.Errorf("%v: suspect at %v, %d failures", outcome, r.suspectAt, r.fails)
+		}
+	}
+}
