What is in doubt at a stop is proven by the calls that are left

Change: once the node leaves, each call goes on a connection with calls in doubt and asks for its end, which proves all of them. No message may stay undecided beyond the node's time.

--- a/delivery/calls.go
+++ b/delivery/calls.go
@@ -184,10 +184,13 @@
 
 // undecidedFor is for how long an attempt of a message that begins now may stay undecided. What may be repeated has half of the time left for that, by its
 // deadline and by the window in which repeats are dropped; for any other message there is nothing else to do. One for whose end others of its key wait
-// has no time for that.
+// has no time for that, and none has more than is left of the process.
 func (n *Engine) undecidedFor(p *past, now time.Time) time.Duration {
 	class := n.cfg.Settings.Classes[p.class]
 	left := p.deadline.Sub(now)
+	if !n.leaveBy.IsZero() {
+		left = min(left, n.leaveBy.Sub(now))
+	}
 	switch {
 	case class.Ordered && p.key != "":
 		return 0
--- a/delivery/engine.go
+++ b/delivery/engine.go
@@ -130,6 +130,7 @@
 	inherited   map[uint64]*journal // by the base of their messages' numbers
 	homes       uint64              // how many were ever inherited
 	wakeAt      time.Duration       // of the module; 0 none
+	leaveBy     time.Time           // by then the engine ends; zero while that is not known
 	calls       sync.WaitGroup
 	jobs        chan func()     // to a worker that is idle
 	quit        chan struct{}   // closed when no more calls come
@@ -334,6 +335,11 @@
 		defer close(gone)
 		<-ctx.Done()
 		n.tell(life, choice.Leaving{By: n.now() + n.cfg.LeaveAfter})
+		for _, f := range n.fronts {
+			if l, ok := f.Carrier.(Leaver); ok {
+				l.Leaving()
+			}
+		}
 		sleep(life, n.cfg.LeaveAfter)
 		for _, f := range n.fronts {
 			if f.Leave != nil {
--- a/delivery/loop.go
+++ b/delivery/loop.go
@@ -90,6 +90,7 @@
 		case settled:
 			n.acknowledge(e)
 		case choice.Leaving:
+			n.leaveBy = n.wall(e.By)
 			events = append(events, e)
 		case News:
 			events = append(events, n.heard(e)...)
--- a/delivery/seams.go
+++ b/delivery/seams.go
@@ -120,6 +120,13 @@
 	AttemptAll(ctx context.Context, all []Attempt) []Result
 }
 
+// Leaver is a Carrier that is told when the process is about to end, while calls are still made.
+type Leaver interface {
+	Carrier
+	// Leaving has results that are undecided settled as far as further calls can do that.
+	Leaving()
+}
+
 // Member is one endpoint of a list.
 type Member struct {
 	ID     string            // the same for all who list it; one without is passed over
--- a/internal/faults/clients/sound_test.go
+++ b/internal/faults/clients/sound_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -62,6 +63,41 @@
 	}
 }
 
+// Guards against messages that a sound endpoint delivered and that are reported as failed since the node was told to end a moment later.
+func TestAStopHasNoDeliveredMessageReported(t *testing.T) {
+	const (
+		burst = 512
+		life  = 8 * time.Second
+	)
+	p := start(t, standin.Limits{Cores: 8, MemoryMB: 256, Sockets: 2000, DiskMB: 32}, standin.Each(standin.Step{}))
+	p.endpoint.CloseIdle(soundEndpointIdle)
+	conn, in := p.dial()
+	var all strings.Builder
+	for i := range burst {
+		all.WriteString(enqueue(fmt.Sprint("m-", i), [...]string{"prize-payout", "table-status"}[i%2], life, "stop"))
+	}
+	if !write(conn, all.String()) {
+		t.Fatal("the connection is closed")
+	}
+	for range burst {
+		if line, err := in.ReadString('\n'); err != nil || line != "+OK\r\n" {
+			t.Fatalf("answered %q, %v", line, err)
+		}
+	}
+	for end := time.Now().Add(patience); len(p.endpoint.Runs()) < burst; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not all messages are sent")
+		}
+	}
+	p.replace(syscall.SIGTERM)
+	time.Sleep(life)
+	twice := moreThanOnce(p.endpoint.Runs())
+	t.Logf("%d called again, %d connections", len(twice), p.endpoint.Conns())
+	for _, n := range p.discovery.Notices() {
+		t.Errorf("%s was delivered and is reported as %s:\n%s", n.ID, n.State, p.linesOf(n.ID))
+	}
+}
+
 // handAll hands messages in by so many clients, so many at once each, at a rate a second of all, and waits for the answers.
 func (p *process) handAll(class string, messages, clients, at, second int, life time.Duration) {
 	var handing sync.WaitGroup
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -405,6 +406,24 @@
 	k.SetReadDeadline(time.Now()) // an error says that it is closed, which ends its reader
 }
 
+// giveBackOne has one of the calls in doubt wait no longer for what may tell, if it may be repeated and each response says that it passed. The reader
+// settles it.
+func (k *conn) giveBackOne() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	i := slices.IndexFunc(k.inDoubt.calls, (*call).mayBeRepeated)
+	if !k.doubted || k.inDoubt.differ || i < 0 {
+		return
+	}
+	k.inDoubt.calls[i].until = 0
+	k.SetReadDeadline(time.Now()) // an error says that it is closed, which ends its reader
+}
+
+// mayBeRepeated tells whether a call in doubt may be made again, its response being its own or a copy.
+func (x *call) mayBeRepeated() bool {
+	return !x.once && x.all == nil && x.answer.said == choice.RepliesOf(choice.ReplyPass)
+}
+
 // idleUntil lets a connection stand idle until a time, and tells whether it can.
 func (k *conn) idleUntil(end time.Time) bool {
 	k.mu.Lock()
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -76,6 +76,7 @@
 	refusing   expiring                    // endpoints that said something else than a pass lately: a response in doubt would be followed by another one
 	givenBack  expiring                    // endpoints whose connections were all given back lately
 	scarce     expiring                    // those at which that happened twice
+	leaving    bool                        // the process ends soon: what is in doubt is to be proven by the calls that are left
 	surpluses  int                         // responses that answered no call, or were taken for another's
 }
 
@@ -313,12 +314,16 @@
 			return k
 		}
 	}
+	after := clearAfter
+	if p.leaving {
+		after = leastQuiet
+	}
 	for _, k := range p.undecided[id] {
 		quiet := now.Sub(k.idleSince)
-		if quiet < clearAfter {
+		if quiet < after {
 			return nil // those behind it have been for less
 		}
-		isDue := k.hurries || quiet >= p.idleFor-proofMargin
+		isDue := k.hurries || p.leaving || quiet >= p.idleFor-proofMargin
 		if isDue && quiet < p.idleFor && k.isDoubted() {
 			return k
 		}
@@ -338,6 +343,34 @@
 	return nil
 }
 
+// Leaving has calls in doubt proven by further calls before the process ends: each of those goes on a connection with calls in doubt. Where too few come,
+// messages that may be repeated make them: the next process would repeat all of them.
+func (p *pool) Leaving() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leaving {
+		return
+	}
+	p.leaving = true
+	for _, after := range [...]time.Duration{clearAfter, 2 * clearAfter} {
+		time.AfterFunc(after, p.repeatDoubted)
+	}
+}
+
+// repeatDoubted has one call in doubt of each connection made again, if it may be.
+func (p *pool) repeatDoubted() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, all := range p.undecided {
+		if p.endless[id] {
+			continue // its response would prove nothing
+		}
+		for _, k := range all {
+			k.giveBackOne()
+		}
+	}
+}
+
 // endDoubts has undecided calls to an endpoint wait no longer for what may tell.
 func (p *pool) endDoubts(id string) {
 	p.mu.Lock()
