--- a/choice/choice.go
+++ b/choice/choice.go
@@ -384,8 +384,8 @@
 	s.returned(u.m, u.c, e)
 }
 
-// isUnproven tells whether an attempt that seemed to pass ended with no proof of that. That says nothing of its endpoint: one that hangs shows
-// in calls that time out.
+// isUnproven tells whether an attempt that seemed to pass ended with no proof of that. That says nothing of
+// its endpoint: one that hangs shows in calls that time out.
 func isUnproven(before, after Outcome) bool { return before == Pass && after == Cut }
 
 // stood takes it that the outcome of an attempt that was undecided stands.
