Sound endpoints: 8 and 1,000 of them, unequal answers, and false ends in the cost guard

Change: four rows more in TestASoundEndpointWhoseAnswersAreEqualIsBelieved, whose processes end beside each other now; TestCost waits for the partners' idle end and wants 0 and 0.

--- a/internal/faults/clients/node_test.go
+++ b/internal/faults/clients/node_test.go
@@ -71,6 +71,7 @@
 	endpoint  *standin.HTTP
 	discovery *standin.Discovery
 	log       lockedBuffer
+	told      bool // to end
 }
 
 // lockedBuffer is a buffer that may be read while it is written to.
@@ -104,6 +105,12 @@
 
 // startAt starts a node whose one endpoint is the one given, and is closed with the test.
 func startAt(t *testing.T, limits standin.Limits, endpoint *standin.HTTP) *process {
+	t.Helper()
+	return startAtMany(t, limits, endpoint, 1)
+}
+
+// startAtMany starts a node with so many endpoints, which the one given is for all of them. It is closed with the test.
+func startAtMany(t *testing.T, limits standin.Limits, endpoint *standin.HTTP, endpoints int) *process {
 	t.Helper()
 	must := func(err error) {
 		t.Helper()
@@ -121,7 +128,14 @@
 	must(err)
 	p.addr = port.Addr()
 	must(port.Close())
-	members := []standin.Member{{ID: "e", Addr: p.endpoint.Addr(), Zone: "a", Kind: "plain", Dest: partner, Phase: "SERVING", Size: 20000}}
+	members := make([]standin.Member, endpoints)
+	for i := range members {
+		id := "e"
+		if i > 0 {
+			id = fmt.Sprint("e", i)
+		}
+		members[i] = standin.Member{ID: id, Addr: p.endpoint.Addr(), Zone: "a", Kind: "plain", Dest: partner, Phase: "SERVING", Size: 20000}
+	}
 	text, err := standin.NodeConfig(p.addr, p.discovery.Addr(), limits, settings, members)
 	must(err)
 	folder := t.TempDir()
@@ -187,9 +201,17 @@
 	return lines.String()
 }
 
+// tell has the process end as the platform does, and does not wait for that.
+func (p *process) tell() {
+	if !p.told {
+		p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	p.told = true
+}
+
 // stop ends the process as the platform does, and fails the test if it has ended by itself.
 func (p *process) stop() {
-	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.tell()
 	if err := p.cmd.Wait(); err != nil {
 		p.t.Errorf("the node ended by itself, or badly: %v\n%s", err, p.log.String())
 	}
--- a/internal/faults/clients/over_test.go
+++ b/internal/faults/clients/over_test.go
@@ -99,6 +99,7 @@
 
 // Guards against a message being called again after its endpoint said that it is over, whatever that response looked like and whoever ended meanwhile.
 func TestAMessageThatIsOverIsNotCalledAgain(t *testing.T) {
+	t.Parallel()
 	whole := gone + "Content-Length: 0\r\n\r\n"
 	for _, c := range []struct {
 		name  string
--- a/internal/faults/clients/sound_test.go
+++ b/internal/faults/clients/sound_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -14,6 +15,9 @@
 // soundEndpointIdle is for how long the endpoint keeps a connection that is idle, as the settings say.
 const soundEndpointIdle = 5 * time.Second
 
+// unequalReplies are how many different replies an endpoint has whose answers are not equal.
+const unequalReplies = 200
+
 // Guards against messages at a sound endpoint whose answers are equal being reported as failed though they were delivered, or called again, until their time is over.
 func TestASoundEndpointWhoseAnswersAreEqualIsBelieved(t *testing.T) {
 	const life = 15 * time.Second
@@ -26,27 +30,49 @@
 	for _, c := range []struct {
 		class               string
 		clients, at, second int // so many clients, with so many requests at once each, and messages a second of all; 0 for as many as the node takes
+		endpoints           int
+		unequal             bool // the answers are not all equal
 	}{
-		{"prize-payout", 8, 32, 2000},
-		{"prize-payout", 64, 32, 2000},
-		{"prize-payout", 8, 1, 2000},
-		{"table-status", 8, 32, 2000},
-		{"prize-payout", 8, 32, 200},
-		{"prize-payout", 8, 32, 1000},
-		{"prize-payout", 8, 32, 0},
-		{"table-status", 8, 32, 0},
+		{"prize-payout", 8, 32, 2000, 1, false},
+		{"prize-payout", 64, 32, 2000, 1, false},
+		{"prize-payout", 8, 1, 2000, 1, false},
+		{"table-status", 8, 32, 2000, 1, false},
+		{"prize-payout", 8, 32, 200, 1, false},
+		{"prize-payout", 8, 32, 1000, 1, false},
+		{"prize-payout", 8, 32, 0, 1, false},
+		{"table-status", 8, 32, 0, 1, false},
+		{"prize-payout", 8, 32, 2000, 8, false},
+		{"prize-payout", 8, 32, 2000, 1000, false},
+		{"prize-payout", 8, 32, 2000, 1, true},
+		{"table-status", 8, 32, 0, 8, true},
 	} {
 		messages := 8192
-		if c.second > 0 {
+		switch {
+		case c.second > 0 && (c.endpoints > 1 || c.unequal):
+			messages = min(messages, 2*c.second)
+		case c.second > 0:
 			messages = min(messages, 4*c.second)
 		}
-		p := start(t, standin.Limits{Cores: 8, MemoryMB: 256, Sockets: 2000, DiskMB: 32}, standin.Each(standin.Step{Delay: 5 * time.Millisecond}))
-		p.endpoint.CloseIdle(soundEndpointIdle)
-		all = append(all, played{fmt.Sprintf("%s/%dx%d/second=%d", c.class, c.clients, c.at, c.second), messages, p})
+		var calls atomic.Int32
+		endpoint, err := standin.NewHTTP(func(standin.Call) standin.Step {
+			step := standin.Step{Delay: 5 * time.Millisecond}
+			if c.unequal {
+				step.Reply = make([]byte, calls.Add(1)%unequalReplies)
+			}
+			return step
+		}, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		endpoint.CloseIdle(soundEndpointIdle)
+		p := startAtMany(t, standin.Limits{Cores: 8, MemoryMB: 256, Sockets: 2000, DiskMB: 32}, endpoint, c.endpoints)
+		name := fmt.Sprintf("%s/%dx%d/second=%d/endpoints=%d/unequal=%v", c.class, c.clients, c.at, c.second, c.endpoints, c.unequal)
+		all = append(all, played{name, messages, p})
 		p.handAll(c.class, messages, c.clients, c.at, c.second, life)
 	}
 	time.Sleep(life + time.Second) // until the last one's time is over
 	for _, p := range all {
+		p.tell() // so that they end beside each other
 		t.Run(p.name, func(t *testing.T) {
 			runs := p.endpoint.Runs()
 			twice := len(moreThanOnce(runs))
@@ -65,6 +91,7 @@
 
 // Guards against messages that a sound endpoint delivered and that are reported as failed since the node was told to end a moment later.
 func TestAStopHasNoDeliveredMessageReported(t *testing.T) {
+	t.Parallel()
 	const (
 		burst = 512
 		life  = 8 * time.Second
@@ -72,6 +99,7 @@
 	p := start(t, standin.Limits{Cores: 8, MemoryMB: 256, Sockets: 2000, DiskMB: 32}, standin.Each(standin.Step{}))
 	p.endpoint.CloseIdle(soundEndpointIdle)
 	conn, in := p.dial()
+	handed := time.Now()
 	var all strings.Builder
 	for i := range burst {
 		all.WriteString(enqueue(fmt.Sprint("m-", i), [...]string{"prize-payout", "table-status"}[i%2], life, "stop"))
@@ -90,7 +118,7 @@
 		}
 	}
 	p.replace(syscall.SIGTERM)
-	time.Sleep(life)
+	time.Sleep(time.Until(handed.Add(life + time.Second)))
 	twice := moreThanOnce(p.endpoint.Runs())
 	t.Logf("%d called again, %d connections", len(twice), p.endpoint.Conns())
 	for _, n := range p.discovery.Notices() {
--- a/internal/plainpath/plainpath_test.go
+++ b/internal/plainpath/plainpath_test.go
@@ -29,7 +29,8 @@
 	clients  = 8
 	deep     = 32 // requests that a client has under way
 	partners = 8
-	held     = 200 // calls that a partner is given that never answers
+	held     = 200             // calls that a partner is given that never answers
+	connIdle = 5 * time.Second // for which a partner keeps an idle connection, as settings has it
 	settings = `{"fleetSize":1,"categories":[{"name":"payout","effect":"at_most_once","aim":4000,"deadline":60000,"worth":1,"lateWorth":0.3}],
 	"contract":{"coldFrom":0.29,"fall":2000,"fallMultiple":1.5,"graceToAnswer":20,"stopSendingWithin":250,"warmWithin":11000},
 	"discovery":"pushed","domain":{"decay":"line","kindBatch":[1],"separateRoutes":[false],"workers":1024},
@@ -76,6 +77,9 @@
 	in     io.Writer
 	out    *bufio.Reader
 	tested testing.TB
+
+	discovery *standin.Discovery
+	partners  []*standin.HTTP
 }
 
 func startNode(b testing.TB, dests int) *node {
@@ -86,6 +90,7 @@
 	}
 	b.Cleanup(d.Close)
 	var addrs []string
+	var all []*standin.HTTP
 	for i := range partners + 1 {
 		p, err := standin.NewRawHTTP(func(nc net.Conn, _ *http.Request) bool {
 			if i == partners {
@@ -99,6 +104,8 @@
 			b.Fatal(err)
 		}
 		b.Cleanup(p.Close)
+		p.CloseIdle(connIdle)
+		all = append(all, p)
 		addrs = append(addrs, p.Addr())
 	}
 	var members []standin.Member
@@ -145,7 +152,7 @@
 		cmd.Process.Kill()
 		cmd.Wait()
 	})
-	return &node{cmd, listen, dests, in, bufio.NewReader(out), b}
+	return &node{cmd: cmd, addr: listen, dests: dests, in: in, out: bufio.NewReader(out), tested: b, discovery: d, partners: all}
 }
 
 // BenchmarkPlainPath hands messages in by 8 connections, 32 deep, for 8 partners that answer at once, and reads the
@@ -212,6 +219,10 @@
 		}
 	}
 	check("", 0)
+	time.Sleep(connIdle + time.Second) // until partners have ended connections whose last response is in doubt
+	if reported, twice := n.falseEnds(); reported > 0 || twice > 0 {
+		t.Errorf("%d messages were delivered and reported as failed, %d were called twice", reported, twice)
+	}
 	if busy, err := client(n.addr, "held", held, func(int) int { return n.dests }); busy > 0 || err != nil {
 		t.Fatalf("%d messages were refused, %v", busy, err)
 	}
@@ -234,6 +245,22 @@
 	}
 }
 
+// falseEnds counts the messages that were reported as failed, and those that were called twice.
+func (n *node) falseEnds() (reported, twice int) {
+	ids := map[string]bool{}
+	for _, notice := range n.discovery.Notices() {
+		ids[notice.ID] = true
+	}
+	for _, p := range n.partners {
+		for _, runs := range p.Runs() {
+			if runs > 1 {
+				twice++
+			}
+		}
+	}
+	return len(ids), twice
+}
+
 // play hands messages in, and returns how many were refused.
 func (n *node) play(messages int) int {
 	b := n.tested
