The endpoint beside a new process is as slow as it, or it gets nearly all calls

TestANewProcessAtAnOldAddressIsNotTakenForTheOldOne failed once in a whole run of the checks beside other rigs: "the new process got nothing of its own".

No identity was taken for another, and nothing ran twice.

Change: both take the same time for a call. The checks are as they were, and a failure tells the calls of both.

--- a/internal/faults/clients/address_test.go
+++ b/internal/faults/clients/address_test.go
@@ -59,7 +59,7 @@
 			t.Parallel()
 			var there seen
 			p := start(t, standin.Limits{Cores: 1, MemoryMB: 64, Sockets: 384, DiskMB: 3}, there.script(c.work))
-			elsewhere, err := standin.NewHTTP(nil, nil)
+			elsewhere, err := standin.NewHTTP(standin.Each(standin.Step{Delay: c.work}), nil) // as fast as the other one, or it gets nearly all
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -116,7 +116,7 @@
 				t.Errorf("%s ran %d times", id, runs[id])
 			}
 			if reached == 0 {
-				t.Error("the new process got nothing of its own")
+				t.Errorf("the new process got nothing of its own: %d calls at its address, %d elsewhere", len(there.calls), len(elsewhere.Calls()))
 			}
 		})
 	}
